--- /dev/null
+++ b/poplarstep/__init__.py
@@ -0,0 +1,5 @@
+"""Layer-4 load balancer and library of coordination parts."""
+
+__all__ = ['__version__']
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/poplarstep/core/__init__.py
@@ -0,0 +1,11 @@
+"""Records, verdicts, registries, stages and timers that all parts share."""
+
+__all__ = [
+    'address',
+    'effect',
+    'record',
+    'registry',
+    'stage',
+    'timer',
+    'verdict',
+]
--- /dev/null
+++ b/poplarstep/core/record.py
@@ -0,0 +1,81 @@
+r"""Base class of messages and of state: plain classes with slots."""
+
+
+def field_names(record_class):
+    r"""Return the field names of a record class in declaration order.
+
+    Examples
+    ========
+
+    >>> class Pair(Record):
+    ...     __slots__ = ('left', 'right')
+    >>> field_names(Pair)
+    ('left', 'right')
+
+    """
+    names = []
+    for ancestor in reversed(record_class.__mro__):
+        names.extend(ancestor.__dict__.get('__slots__', ()))
+    return tuple(names)
+
+
+class Record:
+    r"""Plain class with slots that compares by value.
+
+    Explanation
+    ===========
+
+    A subclass lists its fields in ``__slots__`` and takes them in the same
+    order in ``__init__``. The annotations of ``__init__`` are the types
+    that the codec checks when it decodes a message.
+
+    Examples
+    ========
+
+    >>> class Point(Record):
+    ...     __slots__ = ('x', 'y')
+    ...
+    ...     def __init__(self, x: int, y: int):
+    ...         self.x = x
+    ...         self.y = y
+    >>> Point(1, 2) == Point(1, 2)
+    True
+    >>> Point(1, 2).replace(y=3)
+    Point(x=1, y=3)
+
+    """
+
+    __slots__ = ()
+
+    def values(self):
+        r"""Return the field values in declaration order."""
+        return tuple(
+            getattr(self, name) for name in field_names(type(self))
+        )
+
+    def replace(self, **changes):
+        r"""Return a copy with some fields changed."""
+        names = field_names(type(self))
+        unknown = set(changes) - set(names)
+        if unknown:
+            raise TypeError(
+                '%s has no field %s'
+                % (type(self).__name__, ', '.join(sorted(unknown))))
+        return type(self)(*(
+            changes.get(name, getattr(self, name)) for name in names
+        ))
+
+    def __eq__(self, other):
+        if type(self) is not type(other):
+            return NotImplemented
+        return self.values() == other.values()
+
+    def __hash__(self):
+        return hash((type(self), self.values()))
+
+    def __repr__(self):
+        pairs = zip(field_names(type(self)), self.values())
+        return '%s(%s)' % (
+            type(self).__name__,
+            ', '.join('%s=%r' % pair for pair in pairs),
+        )
--- /dev/null
+++ b/poplarstep/core/stage.py
@@ -0,0 +1,97 @@
+r"""Stages and pipelines: typed messages in, typed messages out.
+
+Explanation
+===========
+
+A stage is a registry of pure functions, one for each message type. A
+function takes ``(state, message, now)`` and returns an iterable of
+messages; it may change only the state that it is given. A message type
+without a handler passes through unchanged. A pipeline is a list of stages,
+each with the state that it owns; what one stage returns enters the next.
+"""
+
+
+class Stage:
+    r"""Registry of handlers by message type.
+
+    Examples
+    ========
+
+    >>> DOUBLE = Stage('double')
+    >>> @DOUBLE.handles(int)
+    ... def double(state, message, now):
+    ...     return [message * 2]
+    >>> DOUBLE.process(None, 4, now=0)
+    [8]
+    >>> DOUBLE.process(None, 'text', now=0)
+    ('text',)
+
+    """
+
+    __slots__ = ('name', 'handler_by_type')
+
+    def __init__(self, name):
+        self.name = name
+        self.handler_by_type = {}
+
+    def handles(self, *message_types):
+        r"""Return a decorator that registers a handler for message types."""
+        def decorate(handler):
+            for message_type in message_types:
+                if message_type in self.handler_by_type:
+                    raise ValueError('stage %s already handles %s' % (
+                        self.name, message_type.__name__))
+                self.handler_by_type[message_type] = handler
+            return handler
+        return decorate
+
+    def process(self, state, message, now):
+        r"""Return the messages that follow from one message.
+
+        Parameters
+        ==========
+
+        state : object
+            State that the stage owns.
+        message : object
+            Any message.
+        now : int
+            Milliseconds of the node's clock.
+        """
+        handler = self.handler_by_type.get(type(message))
+        if handler is None:
+            return (message,)
+        return handler(state, message, now)
+
+
+class Pipeline:
+    r"""List of stages with their states.
+
+    Examples
+    ========
+
+    >>> INCREMENT = Stage('increment')
+    >>> @INCREMENT.handles(int)
+    ... def increment(state, message, now):
+    ...     return [message + state['step']]
+    >>> pipeline = Pipeline([
+    ...     (INCREMENT, {'step': 1}), (INCREMENT, {'step': 10})])
+    >>> pipeline.process(5, now=0)
+    [16]
+
+    """
+
+    __slots__ = ('steps',)
+
+    def __init__(self, steps):
+        self.steps = tuple(steps)
+
+    def process(self, message, now):
+        r"""Run one message through all stages; return what comes out."""
+        messages = [message]
+        for stage, state in self.steps:
+            produced = []
+            for current in messages:
+                produced.extend(stage.process(state, current, now))
+            messages = produced
+        return messages
--- /dev/null
+++ b/poplarstep/flow/token.py
@@ -0,0 +1,132 @@
+r"""Flow tokens: the identity and the route of a flow in one sealed value.
+
+Explanation
+===========
+
+The agent that accepts a flow issues its token and the caller repeats the
+token in every later packet, so a balancer routes the packet without a flow
+table. The idea of a route that the client echoes follows Cheetah and
+QUIC-LB. The seal is a keyed BLAKE2b tag; it keeps callers from choosing
+where a packet goes.
+
+References
+==========
+
+.. [1] T. Barbette et al., "A High-Speed Load-Balancer Design with
+   Guaranteed Per-Connection-Consistency", NSDI 2020.
+.. [2] RFC 7693, "The BLAKE2 Cryptographic Hash and Message
+   Authentication Code".
+
+"""
+
+import hashlib
+import ipaddress
+import struct
+
+from returns import result
+
+from poplarstep.core import address
+from poplarstep.core import record
+
+FORMAT_VERSION = 1
+TAG_BYTES = 8
+# Version, service, data centre, target, IPv4, port, incarnation, serial.
+LAYOUT = struct.Struct('!BHHIIHQQ')
+SEALED_BYTES = LAYOUT.size + TAG_BYTES
+
+
+class Token(record.Record):
+    r"""Identity of a flow and address of the agent that owns it.
+
+    Parameters
+    ==========
+
+    service, data_centre, target : int
+        Numbers that the configuration assigned.
+    agent : Address
+        UDP address of the owning agent.
+    incarnation : int
+        Identifies one run of the agent process.
+    serial : int
+        Number of the flow within that incarnation.
+    """
+
+    __slots__ = (
+        'service', 'data_centre', 'target', 'agent', 'incarnation', 'serial')
+
+    def __init__(
+            self, service: int, data_centre: int, target: int,
+            agent: address.Address, incarnation: int, serial: int):
+        self.service = service
+        self.data_centre = data_centre
+        self.target = target
+        self.agent = agent
+        self.incarnation = incarnation
+        self.serial = serial
+
+
+class Sealer:
+    r"""Seals tokens with the newest key and accepts every known key.
+
+    Examples
+    ========
+
+    >>> sealer = Sealer([b'new key', b'old key'])
+    >>> token = Token(1, 2, 3, address.Address('127.0.0.1', 9), 4, 5)
+    >>> sealed = Sealer([b'old key']).seal(token)
+    >>> sealer.unseal(sealed).unwrap() == token
+    True
+    >>> sealer.unseal(sealed[:-1] + b'x').failure()
+    'token has a wrong tag'
+
+    """
+
+    __slots__ = ('keys', 'text_by_ip')
+
+    def __init__(self, keys):
+        self.keys = tuple(keys)
+        self.text_by_ip = {}
+
+    def seal(self, token):
+        r"""Return the token as ``SEALED_BYTES`` bytes."""
+        body = LAYOUT.pack(
+            FORMAT_VERSION,
+            token.service,
+            token.data_centre,
+            token.target,
+            int(ipaddress.IPv4Address(token.agent.ip)),
+            token.agent.port,
+            token.incarnation,
+            token.serial,
+        )
+        return body + _tag(self.keys[0], body)
+
+    def unseal(self, sealed):
+        r"""Return ``Success(Token)`` or ``Failure(message)``."""
+        if len(sealed) != SEALED_BYTES:
+            return result.Failure(
+                'token has %d bytes, not %d' % (len(sealed), SEALED_BYTES))
+        body = sealed[:LAYOUT.size]
+        tag = sealed[LAYOUT.size:]
+        if not any(_tag(key, body) == tag for key in self.keys):
+            return result.Failure('token has a wrong tag')
+        (version, service, data_centre, target, ip, port, incarnation,
+         serial) = LAYOUT.unpack(body)
+        if version != FORMAT_VERSION:
+            return result.Failure('token has unknown version %d' % version)
+        return result.Success(Token(
+            service, data_centre, target,
+            address.Address(self._ip_text(ip), port), incarnation, serial))
+
+    def _ip_text(self, ip):
+        # Formatting an IPv4Address costs more than the tag; the number of
+        # agent addresses is bounded because only sealed tokens reach here.
+        text = self.text_by_ip.get(ip)
+        if text is None:
+            text = str(ipaddress.IPv4Address(ip))
+            self.text_by_ip[ip] = text
+        return text
+
+
+def _tag(key, body):
+    return hashlib.blake2b(body, digest_size=TAG_BYTES, key=key).digest()
