Add configuration, dissemination, agent, balancer and caller decisions

Cause: the first path needs its decision stages before the edge tasks. Change: state machine, publisher and subscriber, verification, ownership and admission, gate and opening, caller library, UDP, pynng and HTTP tasks.

--- /dev/null
+++ b/poplarstep/caller/message.py
@@ -0,0 +1,99 @@
+r"""What a program asks of the caller library, and what it is told."""
+
+from poplarstep.core import address
+from poplarstep.core import record
+
+
+class StartFlow(record.Record):
+    r"""Open a flow to a service; ``flow_key`` is a random 64-bit number."""
+
+    __slots__ = ('flow_key', 'service', 'deadline_ms')
+
+    def __init__(
+            self, flow_key: int, service: address.Address,
+            deadline_ms: int):
+        self.flow_key = flow_key
+        self.service = service
+        self.deadline_ms = deadline_ms
+
+
+class Ask(record.Record):
+    r"""Send a request on an open flow."""
+
+    __slots__ = ('flow_key', 'payload', 'idempotent', 'deadline_ms')
+
+    def __init__(
+            self, flow_key: int, payload: bytes, idempotent: bool,
+            deadline_ms: int):
+        self.flow_key = flow_key
+        self.payload = payload
+        self.idempotent = idempotent
+        self.deadline_ms = deadline_ms
+
+
+class Abandon(record.Record):
+    r"""Cancel a request."""
+
+    __slots__ = ('flow_key', 'number')
+
+    def __init__(self, flow_key: int, number: int):
+        self.flow_key = flow_key
+        self.number = number
+
+
+class EndFlow(record.Record):
+    r"""Close a flow."""
+
+    __slots__ = ('flow_key',)
+
+    def __init__(self, flow_key: int):
+        self.flow_key = flow_key
+
+
+class FlowStarted(record.Record):
+    r"""The flow is open; requests may be sent."""
+
+    __slots__ = ('flow_key',)
+
+    def __init__(self, flow_key: int):
+        self.flow_key = flow_key
+
+
+class FlowFailed(record.Record):
+    r"""The flow could not be opened; nothing ran."""
+
+    __slots__ = ('flow_key', 'reason')
+
+    def __init__(self, flow_key: int, reason: str):
+        self.flow_key = flow_key
+        self.reason = reason
+
+
+class Outcome(record.Record):
+    r"""What became of a request.
+
+    Parameters
+    ==========
+
+    verdict : int
+        Value of ``Verdict``.
+    reason : str
+        Empty when there is an answer.
+    payload : bytes
+        The whole answer.
+    resends : int
+        Copies that were sent after the first.
+    """
+
+    __slots__ = (
+        'flow_key', 'number', 'verdict', 'reason', 'payload', 'resends')
+
+    def __init__(
+            self, flow_key: int, number: int, verdict: int, reason: str,
+            payload: bytes, resends: int):
+        self.flow_key = flow_key
+        self.number = number
+        self.verdict = verdict
+        self.reason = reason
+        self.payload = payload
+        self.resends = resends
--- /dev/null
+++ b/poplarstep/configuration/catalogue.py
@@ -0,0 +1,210 @@
+r"""Indexed copy of the configuration that every node holds.
+
+Explanation
+===========
+
+A catalogue is changed only by changes of a higher version, so a node never
+goes back to an older configuration. Its indexes are kept up to date change
+by change; the cost of a change does not grow with the number of targets of
+other services.
+"""
+
+import collections
+
+from poplarstep.configuration import model
+from poplarstep.core import registry
+
+# A subscriber that missed more changes receives a snapshot instead.
+RETAINED_CHANGES = 2000
+
+APPLIERS = registry.Registry('kind of change')
+
+
+class Catalogue:
+    r"""Services, data centres and targets at one version.
+
+    Examples
+    ========
+
+    >>> catalogue = Catalogue()
+    >>> centre = model.DataCentre('maadi', 1, False, 1)
+    >>> catalogue.apply([model.Change(1, centre)])
+    True
+    >>> catalogue.version
+    1
+    >>> catalogue.apply([model.Change(1, centre.replace(out=True))])
+    False
+
+    """
+
+    __slots__ = (
+        'version', 'service_by_number', 'service_by_name',
+        'service_by_address', 'former_by_address', 'data_centre_by_number',
+        'data_centre_by_name', 'target_by_number', 'target_by_name',
+        'targets_by_service', 'selectable_by_service', 'changes',
+        'oldest_base')
+
+    def __init__(self):
+        self.changes = collections.deque()
+        self._clear(version=0)
+
+    def _clear(self, version):
+        self.version = version
+        self.service_by_number = {}
+        self.service_by_name = {}
+        self.service_by_address = {}
+        self.former_by_address = {}
+        self.data_centre_by_number = {}
+        self.data_centre_by_name = {}
+        self.target_by_number = {}
+        self.target_by_name = {}
+        self.targets_by_service = {}
+        self.selectable_by_service = {}
+        self.changes.clear()
+        self.oldest_base = version
+
+    def apply(self, changes):
+        r"""Apply the changes of one or more versions, in order.
+
+        Returns whether anything was applied. Changes at or below the
+        present version are ignored.
+        """
+        news = [item for item in changes if item.version > self.version]
+        affected = set()
+        for change in news:
+            applier = APPLIERS.entry_by_name[type(change.body)]
+            affected.update(applier(self, change.body))
+            self.changes.append(change)
+        if news:
+            self.version = max(item.version for item in news)
+            self._trim()
+            for number in affected:
+                self._rebuild_selectable(number)
+        return bool(news)
+
+    def restore(self, snapshot):
+        r"""Replace the content by a snapshot of a higher version.
+
+        Returns whether the snapshot was used.
+        """
+        if snapshot.version <= self.version:
+            return False
+        self._clear(snapshot.version)
+        bodies = (
+            snapshot.services + snapshot.data_centres + snapshot.targets)
+        for body in bodies:
+            APPLIERS.entry_by_name[type(body)](self, body)
+        for number in self.service_by_number:
+            self._rebuild_selectable(number)
+        return True
+
+    def snapshot(self):
+        r"""Return all objects as a ``Snapshot``."""
+        return model.Snapshot(
+            self.version,
+            tuple(self.service_by_number.values()),
+            tuple(self.data_centre_by_number.values()),
+            tuple(self.target_by_number.values()),
+        )
+
+    def changes_since(self, version):
+        r"""Return the changes after a version, or None if some are gone.
+
+        None is also returned when a snapshot holds fewer objects than there
+        are changes.
+        """
+        if version < self.oldest_base:
+            return None
+        changes = []
+        for change in reversed(self.changes):
+            if change.version <= version:
+                break
+            changes.append(change)
+        if len(changes) > self.object_count():
+            return None
+        changes.reverse()
+        return tuple(changes)
+
+    def object_count(self):
+        r"""Return the number of objects in a snapshot."""
+        return (
+            len(self.service_by_number)
+            + len(self.data_centre_by_number)
+            + len(self.target_by_number))
+
+    def data_centre_out(self, number):
+        r"""Return whether a data centre is out; unknown ones are in."""
+        centre = self.data_centre_by_number.get(number)
+        return centre is not None and centre.out
+
+    def _trim(self):
+        while len(self.changes) > RETAINED_CHANGES:
+            self.oldest_base = self.changes.popleft().version
+            # All changes of one version stay or go together.
+            while self.changes and (
+                    self.changes[0].version == self.oldest_base):
+                self.changes.popleft()
+
+    def _rebuild_selectable(self, service):
+        targets = self.targets_by_service.get(service, {}).values()
+        self.selectable_by_service[service] = tuple(
+            item for item in targets
+            if not item.leaving and not item.drained
+            and not self.data_centre_out(item.data_centre))
+
+
+@APPLIERS.register(model.Service)
+def _put_service(catalogue, service):
+    _drop_service(catalogue, service.number)
+    catalogue.service_by_number[service.number] = service
+    catalogue.service_by_name[service.name] = service
+    catalogue.service_by_address[service.address] = service
+    for former in service.former_addresses:
+        catalogue.former_by_address[former] = service
+    return {service.number}
+
+
+@APPLIERS.register(model.DataCentre)
+def _put_data_centre(catalogue, centre):
+    catalogue.data_centre_by_number[centre.number] = centre
+    catalogue.data_centre_by_name[centre.name] = centre
+    return set(catalogue.service_by_number)
+
+
+@APPLIERS.register(model.Target)
+def _put_target(catalogue, target):
+    _drop_target(catalogue, target.number)
+    catalogue.target_by_number[target.number] = target
+    catalogue.target_by_name[target.name] = target
+    catalogue.targets_by_service.setdefault(
+        target.service, {})[target.number] = target
+    return {target.service}
+
+
+@APPLIERS.register(model.Removal)
+def _remove(catalogue, removal):
+    drop = {'service': _drop_service, 'target': _drop_target}
+    return drop[removal.kind](catalogue, removal.number)
+
+
+def _drop_service(catalogue, number):
+    old = catalogue.service_by_number.pop(number, None)
+    if old is None:
+        return set()
+    del catalogue.service_by_name[old.name]
+    if catalogue.service_by_address.get(old.address) is old:
+        del catalogue.service_by_address[old.address]
+    for former in old.former_addresses:
+        if catalogue.former_by_address.get(former) is old:
+            del catalogue.former_by_address[former]
+    return {number}
+
+
+def _drop_target(catalogue, number):
+    old = catalogue.target_by_number.pop(number, None)
+    if old is None:
+        return set()
+    if catalogue.target_by_name.get(old.name) is old:
+        del catalogue.target_by_name[old.name]
+    catalogue.targets_by_service[old.service].pop(number, None)
+    return {old.service}
--- /dev/null
+++ b/poplarstep/configuration/command.py
@@ -0,0 +1,153 @@
+r"""Commands that change the configuration, and their outcomes.
+
+Explanation
+===========
+
+``Command`` is what the replicated log holds. ``client`` and ``sequence``
+are its identity; a command that is sent again gets the first outcome.
+``based_on`` is the configuration version that the operator looked at.
+"""
+
+from poplarstep.configuration import model
+from poplarstep.core import address
+from poplarstep.core import record
+
+APPLIED = 'applied'
+REFUSED = 'refused'
+UNKNOWN = 'unknown'
+
+
+class CreateService(record.Record):
+    r"""Create a service."""
+
+    __slots__ = ('name', 'address', 'priority', 'drain_deadline_ms')
+
+    def __init__(
+            self, name: str, address: address.Address, priority: int,
+            drain_deadline_ms: int):
+        self.name = name
+        self.address = address
+        self.priority = priority
+        self.drain_deadline_ms = drain_deadline_ms
+
+
+class ChangeService(record.Record):
+    r"""Change the given properties of a service; None keeps a property."""
+
+    __slots__ = ('name', 'address', 'priority', 'drain_deadline_ms')
+
+    def __init__(
+            self, name: str, address: address.Address | None,
+            priority: int | None, drain_deadline_ms: int | None):
+        self.name = name
+        self.address = address
+        self.priority = priority
+        self.drain_deadline_ms = drain_deadline_ms
+
+
+class RemoveService(record.Record):
+    r"""Remove a service that has no targets."""
+
+    __slots__ = ('name',)
+
+    def __init__(self, name: str):
+        self.name = name
+
+
+class SetDataCentre(record.Record):
+    r"""Take a data centre out of service or bring it in."""
+
+    __slots__ = ('name', 'out')
+
+    def __init__(self, name: str, out: bool):
+        self.name = name
+        self.out = out
+
+
+class DrainTarget(record.Record):
+    r"""Drain a target, or end its drain."""
+
+    __slots__ = ('name', 'drained')
+
+    def __init__(self, name: str, drained: bool):
+        self.name = name
+        self.drained = drained
+
+
+class Announce(record.Record):
+    r"""Batch of announcements of targets."""
+
+    __slots__ = ('announcements',)
+
+    def __init__(self, announcements: tuple[model.Announcement, ...]):
+        self.announcements = announcements
+
+
+class Expiry(record.Record):
+    r"""Name and incarnation of a target that was not heard of."""
+
+    __slots__ = ('name', 'incarnation')
+
+    def __init__(self, name: str, incarnation: int):
+        self.name = name
+        self.incarnation = incarnation
+
+
+class ExpireTargets(record.Record):
+    r"""Remove targets that no longer announce themselves."""
+
+    __slots__ = ('targets',)
+
+    def __init__(self, targets: tuple[Expiry, ...]):
+        self.targets = targets
+
+
+class Command(record.Record):
+    r"""One entry of the replicated log."""
+
+    __slots__ = ('client', 'sequence', 'based_on', 'body')
+
+    def __init__(
+            self, client: str, sequence: int, based_on: int,
+            body: CreateService | ChangeService | RemoveService
+            | SetDataCentre | DrainTarget | Announce | ExpireTargets):
+        self.client = client
+        self.sequence = sequence
+        self.based_on = based_on
+        self.body = body
+
+
+class Outcome(record.Record):
+    r"""What became of a command.
+
+    Parameters
+    ==========
+
+    status : str
+        ``applied``, ``refused`` (the command did not run) or ``unknown``.
+    version : int
+        Version that the command made, or that was in force when it was
+        refused.
+    reason : str
+        Why it was refused; empty when applied.
+    """
+
+    __slots__ = ('status', 'version', 'reason')
+
+    def __init__(self, status: str, version: int, reason: str):
+        self.status = status
+        self.version = version
+        self.reason = reason
+
+
+class Session(record.Record):
+    r"""Outcomes of one client's recent commands, by sequence."""
+
+    __slots__ = ('client', 'last_used', 'outcome_by_sequence')
+
+    def __init__(
+            self, client: str, last_used: int,
+            outcome_by_sequence: dict[int, Outcome]):
+        self.client = client
+        self.last_used = last_used
+        self.outcome_by_sequence = outcome_by_sequence
--- /dev/null
+++ b/poplarstep/configuration/machine.py
@@ -0,0 +1,342 @@
+r"""State machine that the replicated log drives.
+
+Explanation
+===========
+
+``apply_command`` is deterministic: every control host that applies the same
+log reaches the same catalogue, numbers and outcomes. It reads no clock.
+
+A client's outcomes are remembered so that a command that is sent again
+after a lost answer is not applied twice.
+"""
+
+from returns import result
+
+from poplarstep.configuration import catalogue
+from poplarstep.configuration import command
+from poplarstep.configuration import model
+from poplarstep.core import record
+from poplarstep.core import registry
+
+# Each client sends one command at a time; older outcomes serve only
+# duplicates that were delayed.
+OUTCOMES_PER_SESSION = 16
+# The least recently used session is dropped beyond this number.
+MAXIMUM_SESSIONS = 4096
+
+PLANNERS = registry.Registry('command')
+
+
+class MachineSnapshot(record.Record):
+    r"""Everything that the state machine holds."""
+
+    __slots__ = (
+        'catalogue', 'next_service', 'next_data_centre', 'next_target',
+        'sessions', 'commands')
+
+    def __init__(
+            self, catalogue: model.Snapshot, next_service: int,
+            next_data_centre: int, next_target: int,
+            sessions: tuple[command.Session, ...], commands: int):
+        self.catalogue = catalogue
+        self.next_service = next_service
+        self.next_data_centre = next_data_centre
+        self.next_target = next_target
+        self.sessions = sessions
+        self.commands = commands
+
+
+class Machine:
+    r"""Catalogue, number counters and client sessions."""
+
+    __slots__ = (
+        'catalogue', 'next_service', 'next_data_centre', 'next_target',
+        'session_by_client', 'commands')
+
+    def __init__(self):
+        self.catalogue = catalogue.Catalogue()
+        self.next_service = 1
+        self.next_data_centre = 1
+        self.next_target = 1
+        self.session_by_client = {}
+        self.commands = 0
+
+
+def apply_command(machine, entry):
+    r"""Apply one command of the log and return its ``Outcome``.
+
+    Examples
+    ========
+
+    >>> machine = Machine()
+    >>> out = command.SetDataCentre('maadi', True)
+    >>> apply_command(machine, command.Command('ops', 1, 0, out))
+    Outcome(status='applied', version=1, reason='')
+    >>> apply_command(machine, command.Command('ops', 1, 0, out))
+    Outcome(status='applied', version=1, reason='')
+    >>> machine.catalogue.version
+    1
+
+    """
+    machine.commands += 1
+    session = _session(machine, entry.client)
+    known = session.outcome_by_sequence.get(entry.sequence)
+    if known is not None:
+        return known
+    if _forgotten(session, entry.sequence):
+        return command.Outcome(
+            command.UNKNOWN, machine.catalogue.version,
+            'the outcome of command %d of client %s is no longer held'
+            % (entry.sequence, entry.client))
+    outcome = _run(machine, entry)
+    _remember(session, entry.sequence, outcome)
+    return outcome
+
+
+def take_snapshot(machine):
+    r"""Return a ``MachineSnapshot``."""
+    return MachineSnapshot(
+        machine.catalogue.snapshot(),
+        machine.next_service,
+        machine.next_data_centre,
+        machine.next_target,
+        tuple(machine.session_by_client.values()),
+        machine.commands,
+    )
+
+
+def restore_snapshot(machine, snapshot):
+    r"""Replace the state by a ``MachineSnapshot`` of a later point."""
+    machine.catalogue.restore(snapshot.catalogue)
+    machine.next_service = snapshot.next_service
+    machine.next_data_centre = snapshot.next_data_centre
+    machine.next_target = snapshot.next_target
+    machine.session_by_client = {
+        item.client: item for item in snapshot.sessions}
+    machine.commands = snapshot.commands
+
+
+def _session(machine, client):
+    session = machine.session_by_client.pop(client, None)
+    if session is None:
+        session = command.Session(client, 0, {})
+    session.last_used = machine.commands
+    # Re-insertion keeps the dictionary ordered by last use.
+    machine.session_by_client[client] = session
+    if len(machine.session_by_client) > MAXIMUM_SESSIONS:
+        oldest = next(iter(machine.session_by_client))
+        del machine.session_by_client[oldest]
+    return session
+
+
+def _forgotten(session, sequence):
+    held = session.outcome_by_sequence
+    return len(held) >= OUTCOMES_PER_SESSION and sequence < min(held)
+
+
+def _remember(session, sequence, outcome):
+    session.outcome_by_sequence[sequence] = outcome
+    if len(session.outcome_by_sequence) > OUTCOMES_PER_SESSION:
+        del session.outcome_by_sequence[min(session.outcome_by_sequence)]
+
+
+def _run(machine, entry):
+    planner = PLANNERS.entry_by_name[type(entry.body)]
+    plan = planner(machine, entry)
+    version = machine.catalogue.version
+    if isinstance(plan, result.Failure):
+        return command.Outcome(command.REFUSED, version, plan.failure())
+    bodies = plan.unwrap()
+    if bodies:
+        version += 1
+        machine.catalogue.apply([
+            model.Change(version, _stamped(body, version))
+            for body in bodies])
+    return command.Outcome(command.APPLIED, version, '')
+
+
+def _stamped(body, version):
+    if isinstance(body, model.Removal):
+        return body
+    return body.replace(changed=version)
+
+
+def _check_base(entry, existing, kind):
+    r"""Refuse a change that was based on an older state of its object."""
+    if existing.changed > entry.based_on:
+        return result.Failure(
+            '%s %s changed at version %d, after version %d that the command '
+            'was based on; it is now %r'
+            % (kind, existing.name, existing.changed, entry.based_on,
+               existing))
+    return result.Success(existing)
+
+
+@PLANNERS.register(command.CreateService)
+def _create_service(machine, entry):
+    body = entry.body
+    known = machine.catalogue.service_by_name.get(body.name)
+    if known is not None:
+        return result.Failure(
+            'service %s exists since version %d: %r'
+            % (body.name, known.changed, known))
+    taken = machine.catalogue.service_by_address.get(body.address)
+    if taken is not None:
+        return result.Failure('address %s belongs to service %s' % (
+            body.address, taken.name))
+    number = machine.next_service
+    machine.next_service += 1
+    created = model.Service(
+        body.name, number, body.address, body.priority,
+        body.drain_deadline_ms, (), 0)
+    return result.Success(
+        _without_former(machine, body.address, number) + [created])
+
+
+@PLANNERS.register(command.ChangeService)
+def _change_service(machine, entry):
+    body = entry.body
+    known = machine.catalogue.service_by_name.get(body.name)
+    if known is None:
+        return result.Failure('service %s does not exist' % body.name)
+    checked = _check_base(entry, known, 'service')
+    if isinstance(checked, result.Failure):
+        return checked
+    bodies = []
+    changed = known
+    if body.address is not None and body.address != known.address:
+        taken = machine.catalogue.service_by_address.get(body.address)
+        if taken is not None:
+            return result.Failure('address %s belongs to service %s' % (
+                body.address, taken.name))
+        bodies = _without_former(machine, body.address, known.number)
+        former = [
+            item for item in known.former_addresses + (known.address,)
+            if item != body.address]
+        changed = changed.replace(
+            address=body.address, former_addresses=tuple(former))
+    if body.priority is not None:
+        changed = changed.replace(priority=body.priority)
+    if body.drain_deadline_ms is not None:
+        changed = changed.replace(drain_deadline_ms=body.drain_deadline_ms)
+    return result.Success(bodies + [changed])
+
+
+def _without_former(machine, address, except_number):
+    r"""Return services that lose a former address to its new owner."""
+    former_owner = machine.catalogue.former_by_address.get(address)
+    if former_owner is None or former_owner.number == except_number:
+        return []
+    return [former_owner.replace(former_addresses=tuple(
+        item for item in former_owner.former_addresses if item != address))]
+
+
+@PLANNERS.register(command.RemoveService)
+def _remove_service(machine, entry):
+    known = machine.catalogue.service_by_name.get(entry.body.name)
+    if known is None:
+        return result.Failure(
+            'service %s does not exist' % entry.body.name)
+    checked = _check_base(entry, known, 'service')
+    if isinstance(checked, result.Failure):
+        return checked
+    targets = machine.catalogue.targets_by_service.get(known.number)
+    if targets:
+        return result.Failure(
+            'service %s still has %d targets' % (known.name, len(targets)))
+    return result.Success([model.Removal('service', known.number)])
+
+
+@PLANNERS.register(command.SetDataCentre)
+def _set_data_centre(machine, entry):
+    body = entry.body
+    known = machine.catalogue.data_centre_by_name.get(body.name)
+    if known is None:
+        known = _new_data_centre(machine, body.name)
+    else:
+        checked = _check_base(entry, known, 'data centre')
+        if isinstance(checked, result.Failure):
+            return checked
+    return result.Success([known.replace(out=body.out)])
+
+
+def _new_data_centre(machine, name):
+    number = machine.next_data_centre
+    machine.next_data_centre += 1
+    return model.DataCentre(name, number, False, 0)
+
+
+@PLANNERS.register(command.DrainTarget)
+def _drain_target(machine, entry):
+    body = entry.body
+    known = machine.catalogue.target_by_name.get(body.name)
+    if known is None:
+        return result.Failure('target %s does not exist' % body.name)
+    checked = _check_base(entry, known, 'target')
+    if isinstance(checked, result.Failure):
+        return checked
+    return result.Success([known.replace(drained=body.drained)])
+
+
+@PLANNERS.register(command.Announce)
+def _announce(machine, entry):
+    bodies = []
+    new_centre_by_name = {}
+    latest_by_name = {}
+    for announcement in entry.body.announcements:
+        latest = latest_by_name.get(announcement.name)
+        if latest is None or _order(announcement) > _order(latest):
+            latest_by_name[announcement.name] = announcement
+    for announcement in latest_by_name.values():
+        service = machine.catalogue.service_by_name.get(
+            announcement.service)
+        if service is None:
+            continue
+        centre = machine.catalogue.data_centre_by_name.get(
+            announcement.data_centre)
+        if centre is None:
+            centre = new_centre_by_name.get(announcement.data_centre)
+        if centre is None:
+            centre = _new_data_centre(machine, announcement.data_centre)
+            new_centre_by_name[centre.name] = centre
+        bodies.extend(_announced(machine, announcement, service, centre))
+    return result.Success(list(new_centre_by_name.values()) + bodies)
+
+
+def _order(announcement):
+    return announcement.incarnation, announcement.revision
+
+
+def _announced(machine, announcement, service, centre):
+    r"""Return the changes that follow from one announcement."""
+    known = machine.catalogue.target_by_name.get(announcement.name)
+    if known is not None and _order(announcement) <= _order(known):
+        return []
+    bodies = []
+    drained = False
+    if known is not None and (
+            known.service == service.number
+            and known.data_centre == centre.number):
+        number = known.number
+        drained = known.drained
+    else:
+        if known is not None:
+            bodies.append(model.Removal('target', known.number))
+        number = machine.next_target
+        machine.next_target += 1
+    bodies.append(model.Target(
+        announcement.name, number, service.number, centre.number,
+        announcement.agent, announcement.incarnation, announcement.revision,
+        announcement.slots, announcement.connections, announcement.leaving,
+        drained, 0))
+    return bodies
+
+
+@PLANNERS.register(command.ExpireTargets)
+def _expire_targets(machine, entry):
+    bodies = []
+    for expiry in entry.body.targets:
+        known = machine.catalogue.target_by_name.get(expiry.name)
+        if known is not None and known.incarnation == expiry.incarnation:
+            bodies.append(model.Removal('target', known.number))
+    return result.Success(bodies)
--- a/poplarstep/core/effect.py
+++ b/poplarstep/core/effect.py
@@ -54,3 +54,12 @@
     def __init__(self, event: str, fields: tuple = ()):
         self.event = event
         self.fields = fields
+
+
+class Loop(record.Record):
+    r"""A message that enters the task's pipeline again from the start."""
+
+    __slots__ = ('message',)
+
+    def __init__(self, message: record.Record):
+        self.message = message
--- a/poplarstep/core/record.py
+++ b/poplarstep/core/record.py
@@ -1,6 +1,9 @@
 r"""Base class of messages and of state: plain classes with slots."""
 
+import functools
 
+
+@functools.cache
 def field_names(record_class):
     r"""Return the field names of a record class in declaration order.
 
--- /dev/null
+++ b/poplarstep/dissemination/__init__.py
@@ -0,0 +1,3 @@
+"""How configuration reaches every node and how nodes report."""
+
+__all__ = ['gathering', 'message', 'publisher', 'subscriber']
--- /dev/null
+++ b/poplarstep/dissemination/publisher.py
@@ -0,0 +1,136 @@
+r"""Publisher: answers polls with what changed.
+
+Explanation
+===========
+
+Control hosts and relays publish. A poll waits until the catalogue has a
+newer version than the subscriber, the hold time has passed, or the
+publisher can no longer confirm the configuration. The confirmation comes
+from a function of the publisher's own state: the leader lease on a control
+host, what is left of its own lease on a relay.
+"""
+
+from poplarstep.core import effect
+from poplarstep.core import record
+from poplarstep.core import stage
+from poplarstep.core import timer
+from poplarstep.dissemination import gathering
+from poplarstep.dissemination import message
+
+TICK = 'publisher'
+TICK_PERIOD_MS = 50
+HOLD_MS = 400
+# Longest lease that an update grants. With a commit and a push of under
+# 500 ms, a data centre taken out receives no packet after 3 s.
+LEASE_MS = 2500
+MAXIMUM_WAITING = 16_384
+
+PUBLISHER = stage.Stage('publisher')
+
+
+class WaitingPoll(record.Record):
+    r"""A poll that is held, and when it has to be answered."""
+
+    __slots__ = ('source', 'poll', 'arrived_at')
+
+    def __init__(self, source, poll, arrived_at):
+        self.source = source
+        self.poll = poll
+        self.arrived_at = arrived_at
+
+
+class PublisherState:
+    r"""State of a publisher.
+
+    Parameters
+    ==========
+
+    lease_left : callable
+        Takes ``now`` and returns for how many ms the publisher can confirm
+        its catalogue.
+    leader : callable
+        Returns the inbox of the control leader, or None.
+    """
+
+    __slots__ = (
+        'catalogue', 'gathered', 'lease_left', 'leader', 'waiting_by_node',
+        'refused', 'snapshots', 'updates')
+
+    def __init__(self, catalogue, gathered, lease_left, leader):
+        self.catalogue = catalogue
+        self.gathered = gathered
+        self.lease_left = lease_left
+        self.leader = leader
+        self.waiting_by_node = {}
+        self.refused = 0
+        self.snapshots = 0
+        self.updates = 0
+
+
+def make_publisher(catalogue, gathered, lease_left, leader):
+    r"""Return the state of a publisher that holds no polls."""
+    return PublisherState(catalogue, gathered, lease_left, leader)
+
+
+@PUBLISHER.handles(effect.Received)
+def received(state, event, now):
+    r"""Take in a poll; answer it at once if there is news."""
+    if not isinstance(event.message, message.Poll):
+        return [event]
+    poll = event.message
+    gathering.take_in(state.gathered, poll, now)
+    waiting = WaitingPoll(event.source, poll, now)
+    state.waiting_by_node.pop(poll.node, None)
+    if _must_answer(state, waiting, now):
+        return [_answer(state, waiting, now)]
+    if len(state.waiting_by_node) >= MAXIMUM_WAITING:
+        state.refused += 1
+        return []
+    state.waiting_by_node[poll.node] = waiting
+    return []
+
+
+@PUBLISHER.handles(timer.Tick)
+def tick(state, event, now):
+    r"""Answer the polls that were held long enough."""
+    if event.name != TICK:
+        return [event]
+    gathering.forget_silent(state.gathered, now)
+    return _flush(state, now)
+
+
+@PUBLISHER.handles(message.CatalogueChanged)
+def changed(state, event, now):
+    r"""Answer the polls that wait for a newer version."""
+    return [event] + _flush(state, now)
+
+
+def _flush(state, now):
+    ready = [
+        item for item in state.waiting_by_node.values()
+        if _must_answer(state, item, now)]
+    for item in ready:
+        del state.waiting_by_node[item.poll.node]
+    return [_answer(state, item, now) for item in ready]
+
+
+def _must_answer(state, waiting, now):
+    return (
+        waiting.poll.version < state.catalogue.version
+        or now - waiting.arrived_at >= HOLD_MS
+        or state.lease_left(now) <= 0)
+
+
+def _answer(state, waiting, now):
+    poll = waiting.poll
+    changes = state.catalogue.changes_since(poll.version)
+    snapshot = None
+    if changes is None:
+        snapshot = state.catalogue.snapshot()
+        changes = ()
+        state.snapshots += 1
+    state.updates += 1
+    lease = max(0, min(LEASE_MS, state.lease_left(now)))
+    return effect.SendControl(waiting.source, message.Update(
+        poll.sequence, state.catalogue.version, changes, snapshot, lease,
+        state.leader()))
--- /dev/null
+++ b/poplarstep/edge/link.py
@@ -0,0 +1,220 @@
+r"""Control messages between the project's own processes, over pynng.
+
+Explanation
+===========
+
+Each process has one pull socket, its inbox, and one push socket for each
+inbox that it sends to. Push and pull promise no delivery, so the stages
+above repeat what matters. A blocking pynng call would stop the gevent hub;
+the tasks wait on the sockets' file descriptors instead.
+
+A push socket whose peer is silent is closed and dialled again, because an
+established connection can go silent while new ones work.
+"""
+
+import gevent
+import pynng
+from gevent import queue
+from gevent import socket as gevent_socket
+from returns import result
+
+from poplarstep.core import address
+from poplarstep.core import effect
+from poplarstep.core import record
+from poplarstep.edge import clock
+from poplarstep.edge import codec
+
+OUTBOX_MESSAGES = 256
+# A push socket that nothing was sent on for this long is closed.
+IDLE_MS = 60_000
+# A dial is renewed when no message has come back from the peer for this
+# long while messages were sent to it.
+SILENT_MS = 2000
+RECONNECT_MS = 100
+
+
+class Envelope(record.Record):
+    r"""A control message with the sender's inbox, for the answer."""
+
+    __slots__ = ('cluster', 'source', 'body')
+
+    def __init__(
+            self, cluster: str, source: address.Address, body: bytes):
+        self.cluster = cluster
+        self.source = source
+        self.body = body
+
+
+class LinkCounters:
+    r"""Counts of one process's control links."""
+
+    __slots__ = (
+        'received', 'received_bytes', 'sent', 'sent_bytes', 'malformed',
+        'dropped_outbox', 'redialled', 'wrong_cluster')
+
+    def __init__(self):
+        for name in self.__slots__:
+            setattr(self, name, 0)
+
+
+class Peer:
+    r"""Push socket to one inbox with its bounded outbox."""
+
+    __slots__ = (
+        'address', 'outbox', 'greenlet', 'last_used', 'last_heard',
+        'dialled_at')
+
+    def __init__(self, peer_address, now):
+        self.address = peer_address
+        self.outbox = queue.Queue(maxsize=OUTBOX_MESSAGES)
+        self.greenlet = None
+        self.last_used = now
+        self.last_heard = now
+        self.dialled_at = now
+
+
+class Links:
+    r"""Inbox and outgoing links of one process.
+
+    Parameters
+    ==========
+
+    bound : Address
+        Where the inbox listens.
+    message_codec : Codec
+        Encodes the messages of this process.
+    cluster : str
+        Messages of other clusters are dropped.
+    """
+
+    __slots__ = (
+        'bound', 'codec', 'envelopes', 'cluster', 'inbox', 'peer_by_address',
+        'counters')
+
+    def __init__(self, bound, message_codec, cluster, inbox):
+        self.bound = bound
+        self.codec = message_codec
+        self.envelopes = codec.Codec([Envelope])
+        self.cluster = cluster
+        self.inbox = inbox
+        self.peer_by_address = {}
+        self.counters = LinkCounters()
+
+    def send(self, item):
+        r"""Carry out ``SendControl``; drop the newest when full."""
+        peer = self.peer_by_address.get(item.destination)
+        if peer is None:
+            peer = Peer(item.destination, clock.now_ms())
+            self.peer_by_address[item.destination] = peer
+            peer.greenlet = gevent.spawn(self._write_loop, peer)
+        data = self.envelopes.encode(Envelope(
+            self.cluster, self.bound, self.codec.encode(item.message)))
+        try:
+            peer.outbox.put_nowait(data)
+        except queue.Full:
+            self.counters.dropped_outbox += 1
+
+    def read_loop(self, deliver):
+        r"""Deliver lists of ``Received`` until the inbox closes."""
+        while True:
+            gevent_socket.wait_read(self.inbox.recv_fd)
+            batch = self._drain()
+            if batch:
+                deliver(batch)
+
+    def close(self):
+        r"""Close the inbox and all links."""
+        for peer in self.peer_by_address.values():
+            peer.greenlet.kill()
+        self.inbox.close()
+
+    def _drain(self):
+        batch = []
+        while True:
+            try:
+                data = self.inbox.recv(block=False)
+            except pynng.TryAgain:
+                return batch
+            self.counters.received += 1
+            self.counters.received_bytes += len(data)
+            received = self._open_envelope(data)
+            if received is not None:
+                batch.append(received)
+
+    def _open_envelope(self, data):
+        envelope = self.envelopes.decode(data)
+        if isinstance(envelope, result.Failure):
+            self.counters.malformed += 1
+            return None
+        envelope = envelope.unwrap()
+        if envelope.cluster != self.cluster:
+            self.counters.wrong_cluster += 1
+            return None
+        body = self.codec.decode(envelope.body)
+        if isinstance(body, result.Failure):
+            self.counters.malformed += 1
+            return None
+        peer = self.peer_by_address.get(envelope.source)
+        if peer is not None:
+            peer.last_heard = clock.now_ms()
+        return effect.Received(envelope.source, body.unwrap())
+
+    def _write_loop(self, peer):
+        socket = None
+        try:
+            while True:
+                try:
+                    data = peer.outbox.get(
+                        timeout=IDLE_MS / clock.MILLISECONDS_PER_SECOND)
+                except queue.Empty:
+                    break
+                if socket is not None and self._is_silent(peer):
+                    socket.close()
+                    socket = None
+                    self.counters.redialled += 1
+                if socket is None:
+                    socket = _dial(peer)
+                self._push(socket, data)
+        finally:
+            if self.peer_by_address.get(peer.address) is peer:
+                del self.peer_by_address[peer.address]
+            if socket is not None:
+                socket.close()
+
+    def _is_silent(self, peer):
+        newest = max(peer.last_heard, peer.dialled_at)
+        return clock.now_ms() - newest > SILENT_MS
+
+    def _push(self, socket, data):
+        try:
+            gevent_socket.wait_write(
+                socket.send_fd,
+                timeout=SILENT_MS / clock.MILLISECONDS_PER_SECOND)
+            socket.send(data, block=False)
+            self.counters.sent += 1
+            self.counters.sent_bytes += len(data)
+        except (pynng.TryAgain, gevent_socket.timeout, TimeoutError):
+            self.counters.dropped_outbox += 1
+
+
+def _dial(peer):
+    now = clock.now_ms()
+    peer.dialled_at = now
+    return pynng.Push0(
+        dial='tcp://%s' % peer.address,
+        block_on_dial=False,
+        reconnect_time_min=RECONNECT_MS,
+        reconnect_time_max=RECONNECT_MS,
+    )
+
+
+def open_links(bound, message_codec, cluster):
+    r"""Return ``Success(Links)`` or ``Failure(message)``."""
+    try:
+        inbox = pynng.Pull0(
+            listen='tcp://%s' % bound,
+            recv_max_size=codec.MAXIMUM_MESSAGE_BYTES)
+    except pynng.NNGException as error:
+        return result.Failure(
+            'cannot listen on control address %s: %s' % (bound, error))
+    return result.Success(Links(bound, message_codec, cluster, inbox))
--- /dev/null
+++ b/poplarstep/edge/target_client.py
@@ -0,0 +1,111 @@
+r"""HTTP client with which an agent calls its target.
+
+Explanation
+===========
+
+Each call runs in a greenlet of its own and reports back to the agent's
+task by a message. The client tells apart a request that certainly did not
+reach the target (no connection, or the target says that it did not run it)
+from one that may have run.
+
+A connection whose call failed or timed out is not used again: a late answer
+on it would be taken for the answer to the next request.
+"""
+
+import time
+
+import gevent
+from geventhttpclient import client as http_client
+
+from poplarstep.edge import clock
+from poplarstep.requests import message
+
+NOT_RUN_HEADER = 'request-not-run'
+CONNECT_TIMEOUT_S = 0.5
+
+
+class TargetClient:
+    r"""Calls one target; ``deliver`` takes the messages for the task."""
+
+    __slots__ = ('deliver', 'address', 'idle')
+
+    def __init__(self, deliver):
+        self.deliver = deliver
+        self.address = None
+        self.idle = []
+
+    def connect(self, target_address):
+        r"""Use a target address for the calls that follow."""
+        if target_address != self.address:
+            self.address = target_address
+            while self.idle:
+                self.idle.pop().close()
+
+    def call(self, item):
+        r"""Carry out ``CallTarget``."""
+        gevent.spawn(self._call, item, self.address)
+
+    def cancel(self, item):
+        r"""Carry out ``CancelCall``."""
+        gevent.spawn(self._cancel, item)
+
+    def _call(self, item, target_address):
+        started = time.monotonic()
+        client = self._take()
+        outcome = None
+        with gevent.Timeout(
+                item.deadline_ms / clock.MILLISECONDS_PER_SECOND, False):
+            outcome = _post(client, item)
+        if outcome is None:
+            outcome = message.TargetFailed(
+                item.key, True, 'target-timeout', 0.0)
+        if isinstance(outcome, message.TargetAnswered) and (
+                target_address == self.address):
+            self.idle.append(client)
+        else:
+            client.close()
+        outcome.elapsed_ms = (time.monotonic() - started) * (
+            clock.MILLISECONDS_PER_SECOND)
+        self.deliver([outcome])
+
+    def _cancel(self, item):
+        client = self._connected()
+        try:
+            client.delete('/request/%s' % item.idempotency_key).read()
+        except (OSError, ValueError):
+            # The call itself reports what became of the request.
+            return
+        finally:
+            client.close()
+
+    def _take(self):
+        if self.idle:
+            return self.idle.pop()
+        return self._connected()
+
+    def _connected(self):
+        return http_client.HTTPClient(
+            self.address.ip, self.address.port, concurrency=1,
+            connection_timeout=CONNECT_TIMEOUT_S, network_timeout=None)
+
+
+def _post(client, item):
+    try:
+        response = client.post(
+            '/request', body=item.payload, headers={
+                'Idempotency-Key': item.idempotency_key,
+                'Request-Deadline-Ms': str(item.deadline_ms),
+            })
+        body = bytes(response.read())
+    except (ConnectionRefusedError, TimeoutError):
+        # Without a read timeout only connecting can time out.
+        return message.TargetFailed(
+            item.key, False, 'target-unreachable', 0.0)
+    except (OSError, ValueError) as error:
+        return message.TargetFailed(
+            item.key, True, 'target-%s' % type(error).__name__, 0.0)
+    if response.status_code == 200:
+        return message.TargetAnswered(item.key, body, 0.0)
+    ran = response.get(NOT_RUN_HEADER) != 'true'
+    return message.TargetFailed(
+        item.key, ran, 'target-status-%d' % response.status_code, 0.0)
--- /dev/null
+++ b/poplarstep/edge/task.py
@@ -0,0 +1,122 @@
+r"""Task that owns a pipeline's state and carries out its effects.
+
+Explanation
+===========
+
+Other tasks reach it only through its inbox, a bounded queue of batches. A
+full inbox drops the newest batch and counts it: the data path resends, and
+control messages are repeated by polls and heartbeats. The task sleeps until
+a message arrives or the next timer is due.
+"""
+
+import gevent
+from absl import logging
+from gevent import queue
+
+from poplarstep.core import effect
+from poplarstep.edge import clock
+
+INBOX_BATCHES = 4096
+
+
+class TaskCounters:
+    r"""Counts of one task."""
+
+    __slots__ = ('messages', 'dropped_inbox', 'unhandled_effects')
+
+    def __init__(self):
+        self.messages = 0
+        self.dropped_inbox = 0
+        self.unhandled_effects = 0
+
+
+class Task:
+    r"""A greenlet that drives one pipeline.
+
+    Parameters
+    ==========
+
+    name : str
+        Name in log lines.
+    pipeline : Pipeline
+        Decision stages with their states.
+    timers : TimerQueue
+        Subscriptions of the stages.
+    performer_by_type : dict
+        Function that carries out each type of effect. A function may return
+        messages, which enter the pipeline again.
+    """
+
+    __slots__ = (
+        'name', 'pipeline', 'timers', 'performer_by_type', 'inbox',
+        'counters', 'stopping')
+
+    def __init__(self, name, pipeline, timers, performer_by_type):
+        self.name = name
+        self.pipeline = pipeline
+        self.timers = timers
+        self.performer_by_type = {
+            effect.LogChange: log_change,
+            effect.Loop: lambda item: [item.message],
+            **performer_by_type,
+        }
+        self.inbox = queue.Queue(maxsize=INBOX_BATCHES)
+        self.counters = TaskCounters()
+        self.stopping = False
+
+    def post(self, messages):
+        r"""Put a batch of messages into the inbox; drop it when full."""
+        try:
+            self.inbox.put_nowait(messages)
+        except queue.Full:
+            self.counters.dropped_inbox += len(messages)
+
+    def run(self):
+        r"""Serve the inbox and the timers until ``stop``."""
+        while not self.stopping:
+            for message in self._wait():
+                self.process(message)
+
+    def stop(self):
+        r"""End ``run`` after the batches that are already waiting."""
+        self.stopping = True
+        self.post([])
+
+    def process(self, message):
+        r"""Run one message and all that follow from it."""
+        waiting = [message]
+        while waiting:
+            now = clock.now_ms()
+            self.counters.messages += 1
+            for item in self.pipeline.process(waiting.pop(0), now):
+                waiting.extend(self._perform(item))
+
+    def _perform(self, item):
+        performer = self.performer_by_type.get(type(item))
+        if performer is None:
+            self.counters.unhandled_effects += 1
+            return ()
+        return performer(item) or ()
+
+    def _wait(self):
+        deadline = self.timers.next_deadline()
+        timeout = None
+        if deadline is not None:
+            timeout = max(0, deadline - clock.now_ms()) / (
+                clock.MILLISECONDS_PER_SECOND)
+        try:
+            batch = self.inbox.get(timeout=timeout)
+        except queue.Empty:
+            batch = []
+        return batch + self.timers.due(clock.now_ms())
+
+
+def log_change(item):
+    r"""Write the log line of a change of state."""
+    logging.info('%s %s', item.event, ' '.join(
+        '%s=%s' % pair for pair in item.fields))
+
+
+def start(task):
+    r"""Start a task in a greenlet and return the greenlet."""
+    return gevent.spawn(task.run)
--- /dev/null
+++ b/poplarstep/edge/web.py
@@ -0,0 +1,99 @@
+r"""HTTP server of a process: probes, metrics and registered routes."""
+
+import json
+
+import aioprometheus
+from absl import logging
+from gevent import pywsgi
+from returns import result
+
+MAXIMUM_BODY_BYTES = 1024 * 1024
+STATUS_BY_CODE = {
+    200: '200 OK',
+    400: '400 Bad Request',
+    404: '404 Not Found',
+    413: '413 Content Too Large',
+    503: '503 Service Unavailable',
+}
+
+
+class Reply:
+    r"""Status code, content type and body of an HTTP answer."""
+
+    __slots__ = ('code', 'content_type', 'body')
+
+    def __init__(self, code, body, content_type='application/json'):
+        self.code = code
+        self.content_type = content_type
+        self.body = body
+
+
+class Routes:
+    r"""Registry of handlers by method and path.
+
+    A handler takes the body as bytes and returns a ``Reply``.
+    """
+
+    __slots__ = ('handler_by_route',)
+
+    def __init__(self):
+        self.handler_by_route = {}
+
+    def route(self, method, path):
+        r"""Return a decorator that registers a handler."""
+        def decorate(handler):
+            self.handler_by_route[method, path] = handler
+            return handler
+        return decorate
+
+    def __call__(self, environ, start_response):
+        handler = self.handler_by_route.get(
+            (environ['REQUEST_METHOD'], environ['PATH_INFO']))
+        reply = _run(handler, environ)
+        start_response(
+            STATUS_BY_CODE[reply.code],
+            [('Content-Type', reply.content_type),
+             ('Content-Length', str(len(reply.body)))])
+        return [reply.body]
+
+
+def json_reply(value, code=200):
+    r"""Return a ``Reply`` that holds a value as JSON."""
+    return Reply(code, json.dumps(value).encode())
+
+
+def metrics_reply(registry, accept='text/plain'):
+    r"""Return the metrics of an aioprometheus registry."""
+    content, headers = aioprometheus.render(registry, [accept])
+    return Reply(200, content, headers.get(
+        'Content-Type', headers.get('content-type', 'text/plain')))
+
+
+def serve(bound, routes):
+    r"""Start serving; return ``Success(server)`` or ``Failure(message)``."""
+    server = pywsgi.WSGIServer((bound.ip, bound.port), routes, log=None)
+    try:
+        server.start()
+    except OSError as error:
+        return result.Failure(
+            'cannot listen on HTTP address %s: %s' % (bound, error.strerror))
+    return result.Success(server)
+
+
+def _run(handler, environ):
+    if handler is None:
+        return json_reply({'error': 'no such resource'}, 404)
+    length = environ.get('CONTENT_LENGTH') or '0'
+    if not length.isdecimal():
+        return json_reply({'error': 'Content-Length is not a number'}, 400)
+    if int(length) > MAXIMUM_BODY_BYTES:
+        return json_reply({'error': 'body exceeds %d bytes'
+                           % MAXIMUM_BODY_BYTES}, 413)
+    body = environ['wsgi.input'].read(int(length))
+    try:
+        return handler(body)
+    except (ValueError, KeyError, TypeError) as error:
+        logging.warning('http-request-failed path=%s error=%s',
+                        environ['PATH_INFO'], error)
+        return json_reply({'error': str(error)}, 400)
+
--- /dev/null
+++ b/poplarstep/requests/state.py
@@ -0,0 +1,143 @@
+r"""State that one agent owns: its flows and their request records."""
+
+import enum
+
+from poplarstep.core import record
+from poplarstep.core import verdict as verdicts
+
+
+class Phase(enum.IntEnum):
+    r"""Where a request stands."""
+
+    QUEUED = 0
+    DISPATCHED = 1
+    ANSWERED = 2
+    REFUSED = 3
+
+
+class RequestRecord(record.Record):
+    r"""What the agent knows of one request.
+
+    ``path`` is that of the latest copy of the request, so that an answer
+    reaches the caller where it now is.
+    """
+
+    __slots__ = (
+        'phase', 'path', 'flow_key', 'idempotent', 'deadline', 'payload',
+        'parts', 'verdict', 'reason', 'cancelled')
+
+    def __init__(
+            self, path, flow_key, idempotent, deadline, payload):
+        self.phase = Phase.QUEUED
+        self.path = path
+        self.flow_key = flow_key
+        self.idempotent = idempotent
+        self.deadline = deadline
+        self.payload = payload
+        self.parts = ()
+        self.verdict = verdicts.Verdict.MAY_HAVE_RUN
+        self.reason = ''
+        self.cancelled = False
+
+
+class Flow(record.Record):
+    r"""One flow; requests below ``floor`` have been answered."""
+
+    __slots__ = ('flow_key', 'last_seen', 'floor', 'record_by_number')
+
+    def __init__(self, flow_key, last_seen):
+        self.flow_key = flow_key
+        self.last_seen = last_seen
+        self.floor = 1
+        self.record_by_number = {}
+
+
+class AgentCounters:
+    r"""Counts of events since the agent started."""
+
+    __slots__ = (
+        'opened', 'open_refused', 'dispatched', 'answered', 'resent',
+        'refused_not_run', 'refused_may_have_run', 'misrouted', 'failed',
+        'flows_expired', 'answers_dropped', 'duplicate_opens')
+
+    def __init__(self):
+        for name in self.__slots__:
+            setattr(self, name, 0)
+
+
+class AgentState:
+    r"""State of one agent.
+
+    Parameters
+    ==========
+
+    node : str
+        Name of the node and of the target.
+    data_centre : str
+        Name of the data centre from the settings.
+    agent_address : Address
+        UDP address at which balancers reach this agent.
+    incarnation : int
+        Identifies this run of the agent.
+    catalogue : Catalogue
+        The node's copy of the configuration.
+    flow_idle_ms : int
+        A flow without a packet for this long is dropped.
+    answer_bytes_limit : int
+        Bytes of recorded answers that are kept for resends.
+    """
+
+    __slots__ = (
+        'node', 'data_centre', 'agent_address', 'incarnation', 'catalogue',
+        'flow_idle_ms', 'answer_bytes_limit', 'target', 'revision',
+        'leaving', 'next_serial', 'flow_by_serial', 'serial_by_opener',
+        'answer_bytes', 'counters')
+
+    def __init__(
+            self, node, data_centre, agent_address, incarnation, catalogue,
+            flow_idle_ms, answer_bytes_limit):
+        self.node = node
+        self.data_centre = data_centre
+        self.agent_address = agent_address
+        self.incarnation = incarnation
+        self.catalogue = catalogue
+        self.flow_idle_ms = flow_idle_ms
+        self.answer_bytes_limit = answer_bytes_limit
+        self.target = None
+        self.revision = 0
+        self.leaving = False
+        self.next_serial = 1
+        self.flow_by_serial = {}
+        self.serial_by_opener = {}
+        self.answer_bytes = 0
+        self.counters = AgentCounters()
+
+
+def make_agent_state(
+        node, data_centre, agent_address, incarnation, catalogue,
+        flow_idle_ms=3_600_000, answer_bytes_limit=16 * 1024 * 1024):
+    r"""Return the state of an agent whose target has not announced yet."""
+    return AgentState(
+        node, data_centre, agent_address, incarnation, catalogue,
+        flow_idle_ms, answer_bytes_limit)
+
+
+def own_target(state):
+    r"""Return the catalogue's target of this agent run, or None."""
+    target = state.catalogue.target_by_name.get(state.node)
+    if target is None or target.incarnation != state.incarnation:
+        return None
+    return target
+
+
+def request_record(state, key):
+    r"""Return the record of a request, or None when it is gone."""
+    flow = state.flow_by_serial.get(key.serial)
+    if flow is None:
+        return None
+    return flow.record_by_number.get(key.number)
+
+
+def idempotency_key(state, key):
+    r"""Return the text that identifies a request to the target."""
+    return '%x-%x-%d' % (state.incarnation, key.serial, key.number)
--- /dev/null
+++ b/poplarstep/requests/verification.py
@@ -0,0 +1,88 @@
+r"""First stage of an agent: is the packet meant for this target?
+
+Explanation
+===========
+
+A balancer may hold an old configuration, and an address may be used again
+for another service. The agent therefore checks the service, the data centre
+and the incarnation of every packet itself.
+"""
+
+from poplarstep.core import effect
+from poplarstep.core import stage
+from poplarstep.core import verdict
+from poplarstep.flow import packet
+from poplarstep.requests import message
+from poplarstep.requests import state as states
+
+VERIFY = stage.Stage('verify')
+
+RETRY_SOON_MS = 50
+RETRY_LATER_MS = 1000
+
+
+@VERIFY.handles(message.Arrival)
+def arrival(state, event, now):
+    r"""Check one packet; refuse it or pass it on verified."""
+    forwarded = event.forwarded
+    if isinstance(forwarded.packet, packet.Open):
+        reason = _open_fault(state, forwarded)
+        if reason:
+            return [refuse_open(state, event.source, forwarded, reason)]
+        return [message.VerifiedOpen(event.source, forwarded)]
+    reason = _packet_fault(state, forwarded)
+    if reason:
+        return refuse_packet(state, forwarded, reason)
+    return [message.VerifiedPacket(forwarded.path, forwarded.packet)]
+
+
+def _open_fault(state, forwarded):
+    r"""Return why an ``Open`` can't be accepted, or an empty string."""
+    target = states.own_target(state)
+    if target is None or state.target is None:
+        return 'target-unknown'
+    if forwarded.target != target.number or (
+            forwarded.service != target.service):
+        state.counters.misrouted += 1
+        return 'misrouted'
+    if state.catalogue.data_centre_out(target.data_centre):
+        return 'data-centre-out'
+    if state.leaving or target.leaving or target.drained or (
+            state.target.leaving):
+        return 'draining'
+    return ''
+
+
+def _packet_fault(state, forwarded):
+    r"""Return why a packet of a flow can't be served, or an empty string."""
+    token = forwarded.packet.token
+    if token.incarnation != state.incarnation:
+        return 'flow-ended'
+    if token.service != forwarded.service:
+        state.counters.misrouted += 1
+        return 'misrouted'
+    if state.catalogue.data_centre_out(token.data_centre):
+        return 'data-centre-out'
+    return ''
+
+
+def refuse_open(state, source, forwarded, reason, load=None):
+    r"""Return the refusal of an ``Open``; it runs nothing, so not run."""
+    state.counters.open_refused += 1
+    later = RETRY_LATER_MS if reason == 'draining' else RETRY_SOON_MS
+    return effect.SendPacket(source, packet.OpenOutcome(
+        forwarded.attempt, forwarded.target,
+        load or packet.Load(0, 0, 0, len(state.flow_by_serial), 0.0),
+        packet.Refused(
+            forwarded.packet.flow_key, 0, int(verdict.Verdict.NOT_RUN),
+            reason, later)))
+
+
+def refuse_packet(state, forwarded, reason):
+    r"""Return the refusal of a packet that no record can speak for."""
+    if not isinstance(forwarded.packet, packet.Request):
+        return []
+    state.counters.refused_may_have_run += 1
+    return [packet.Egress(forwarded.path, packet.Refused(
+        forwarded.packet.flow_key, forwarded.packet.number,
+        int(verdict.Verdict.MAY_HAVE_RUN), reason, 0))]
