--- /dev/null
+++ b/poplarstep/limits/__init__.py
@@ -0,0 +1,3 @@
+"""Ramp, admission queue, retry budget and priority shedding."""
+
+__all__ = ['budget', 'queue', 'ramp', 'shedder']
--- /dev/null
+++ b/poplarstep/limits/queue.py
@@ -0,0 +1,237 @@
+r"""Bounded queue of requests that wait for a slot at a target."""
+
+import collections
+
+from returns import result
+import sortedcontainers
+
+from poplarstep.core import record
+
+QUEUE_FULL = 'queue-full'
+ALREADY_QUEUED = 'already-queued'
+DEADLINE_PASSED = 'deadline-passed'
+DEADLINE_UNREACHABLE = 'deadline-unreachable'
+
+TARGET_MS = 50
+INTERVAL_MS = 500
+SERVICE_TIME_WEIGHT = 0.125
+
+
+class Entry(record.Record):
+    r"""A waiting request; times are milliseconds of the node's clock."""
+
+    __slots__ = ('sequence', 'arrived_at', 'deadline')
+
+    def __init__(self, sequence: int, arrived_at: int, deadline: int):
+        self.sequence = sequence
+        self.arrived_at = arrived_at
+        self.deadline = deadline
+
+
+class Taken(record.Record):
+    r"""Result of ``AdmissionQueue.take``.
+
+    ``key`` is None if nothing can be served; ``expired`` holds the keys
+    that left the queue without service and did not run.
+    """
+
+    __slots__ = ('key', 'expired')
+
+    def __init__(self, key, expired: tuple):
+        self.key = key
+        self.expired = expired
+
+
+class AdmissionQueue:
+    r"""Waiting requests with deadlines and two orders of service.
+
+    Explanation
+    ===========
+
+    While the delay is short the queue serves first come, first served. When
+    the oldest entry has been older than the target delay for a whole
+    interval, a queue in that order would serve every request late, so the
+    newest entry is served first, and entries whose deadline leaves less
+    than the measured service time are refused. The queue returns to the
+    first order when the oldest entry is younger than the target delay.
+
+    The owner reports service times with ``served``. An entry offered to an
+    empty queue is admitted whatever the estimate says, so that an estimate
+    that is too high is corrected by new measurements.
+
+    Examples
+    ========
+
+    >>> queue = make_queue(capacity=2)
+    >>> queue.offer('a', deadline=100, now=0)
+    <Success: a>
+    >>> queue.offer('b', deadline=30, now=0)
+    <Success: b>
+    >>> queue.offer('c', deadline=100, now=0)
+    <Failure: queue-full>
+    >>> queue.take(now=40)
+    Taken(key='a', expired=('b',))
+
+    References
+    ==========
+
+    .. [1] RFC 8289, Controlled Delay Active Queue Management.
+
+    """
+
+    __slots__ = (
+        'capacity', 'target_ms', 'interval_ms', 'entry_by_key',
+        'key_by_deadline', 'next_sequence', 'above_since', 'overloaded',
+        'service_ms', 'parallel')
+
+    def __init__(self, capacity, target_ms, interval_ms):
+        self.capacity = capacity
+        self.target_ms = target_ms
+        self.interval_ms = interval_ms
+        self.entry_by_key = collections.OrderedDict()
+        self.key_by_deadline = sortedcontainers.SortedDict()
+        self.next_sequence = 0
+        self.above_since = None
+        self.overloaded = False
+        self.service_ms = 0.0
+        self.parallel = 1
+
+    def __len__(self):
+        return len(self.entry_by_key)
+
+    def __contains__(self, key):
+        return key in self.entry_by_key
+
+    def offer(self, key, deadline, now):
+        r"""Return ``Success(key)`` if admitted, else ``Failure(reason)``.
+
+        Parameters
+        ==========
+
+        key : hashable
+            Identity of the request.
+        deadline : int
+            Milliseconds of the node's clock.
+        now : int
+            Milliseconds of the node's clock.
+
+        Returns
+        =======
+
+        Result
+            The reasons are ``already-queued``, ``deadline-passed``,
+            ``deadline-unreachable`` and ``queue-full``.
+        """
+        self._update_mode(now)
+        if key in self.entry_by_key:
+            return result.Failure(ALREADY_QUEUED)
+        if deadline <= now:
+            return result.Failure(DEADLINE_PASSED)
+        if self.entry_by_key and deadline < now + self.expected_ms():
+            return result.Failure(DEADLINE_UNREACHABLE)
+        if len(self.entry_by_key) >= self.capacity:
+            return result.Failure(QUEUE_FULL)
+        sequence = self.next_sequence
+        self.next_sequence += 1
+        self.entry_by_key[key] = Entry(sequence, now, deadline)
+        self.key_by_deadline[(deadline, sequence)] = key
+        return result.Success(key)
+
+    def take(self, now):
+        r"""Remove the next entry to serve, and those that are too late."""
+        self._update_mode(now)
+        expired = self.expire(now)
+        if not self.entry_by_key:
+            return Taken(None, expired)
+        key, entry = self.entry_by_key.popitem(last=self.overloaded)
+        del self.key_by_deadline[(entry.deadline, entry.sequence)]
+        return Taken(key, expired)
+
+    def expire(self, now):
+        r"""Remove the entries that are too late; return their keys."""
+        latest = now
+        if self.overloaded:
+            latest = now + self.service_ms
+        expired = []
+        while self.key_by_deadline:
+            (deadline, _), key = self.key_by_deadline.peekitem(0)
+            if deadline > latest:
+                break
+            self.remove(key)
+            expired.append(key)
+        return tuple(expired)
+
+    def remove(self, key):
+        r"""Remove an entry; return whether it was waiting."""
+        entry = self.entry_by_key.pop(key, None)
+        if entry is None:
+            return False
+        del self.key_by_deadline[(entry.deadline, entry.sequence)]
+        return True
+
+    def served(self, service_ms, parallel=1):
+        r"""Report the service time of one request.
+
+        Parameters
+        ==========
+
+        service_ms : float
+            Time from dispatch to completion.
+        parallel : int
+            Requests that the target serves at the same time.
+        """
+        if not self.service_ms:
+            self.service_ms = float(service_ms)
+        self.service_ms += SERVICE_TIME_WEIGHT * (
+            service_ms - self.service_ms)
+        self.parallel = max(1, parallel)
+
+    def expected_ms(self):
+        r"""Return the expected time until a new entry is completed."""
+        if self.overloaded:
+            return self.service_ms
+        waiting = len(self.entry_by_key) / self.parallel
+        return self.service_ms * (waiting + 1)
+
+    def next_deadline(self):
+        r"""Return the earliest deadline in ms, or None."""
+        if not self.key_by_deadline:
+            return None
+        return self.key_by_deadline.peekitem(0)[0][0]
+
+    def _update_mode(self, now):
+        oldest = next(iter(self.entry_by_key.values()), None)
+        target_ms = max(self.target_ms, 2 * self.service_ms)
+        if oldest is None or now - oldest.arrived_at <= target_ms:
+            self.above_since = None
+            self.overloaded = False
+            return
+        if self.above_since is None:
+            self.above_since = now
+        if now - self.above_since >= self.interval_ms:
+            self.overloaded = True
+
+
+def make_queue(capacity, target_ms=TARGET_MS, interval_ms=INTERVAL_MS):
+    r"""Return an empty queue.
+
+    Parameters
+    ==========
+
+    capacity : int
+        Entries that may wait.
+    target_ms : int
+        Delay that counts as short; twice the service time if that is more.
+    interval_ms : int
+        Time for which the delay must exceed the target.
+
+    Raises
+    ======
+
+    ValueError
+        If the capacity is not positive.
+    """
+    if capacity < 1:
+        raise ValueError(
+            'queue needs a capacity of at least 1, not %r' % (capacity,))
+    return AdmissionQueue(capacity, target_ms, interval_ms)
