--- /dev/null
+++ b/poplarstep/language/__init__.py
@@ -0,0 +1,7 @@
+"""Operators' query and command language."""
+
+__all__ = [
+    'parser',
+    'statement',
+    'value',
+]
