--- a/poplarstep/language/__init__.py
+++ b/poplarstep/language/__init__.py
@@ -1,6 +1,7 @@
 """Operators' query and command language."""
 
 __all__ = [
+    'completion',
     'parser',
     'statement',
     'value',
