--- /dev/null
+++ b/poplarstep/language/__init__.py
@@ -0,0 +1,8 @@
+"""Operators' query and command language."""
+
+__all__ = [
+    'completion',
+    'parser',
+    'statement',
+    'value',
+]
