--- a/poplarstep/caller/exchange.py
+++ b/poplarstep/caller/exchange.py
@@ -21,6 +21,10 @@
 TICK_PERIOD_MS = 20
 FIRST_RESEND_MS = 250
 MAXIMUM_RESEND_MS = 2000
+# Pause before a new attempt of a request that was refused as not run; it
+# doubles, so that retries do not keep an overload going.
+FIRST_RETRY_MS = 50
+CANCELLED = 'cancelled'
 # Refusals of one copy by one balancer; another copy may still get through.
 TRANSIENT_REASONS = frozenset(['balancer-unconfirmed'])
 # Refusals of an open that another attempt may overcome.
@@ -54,7 +58,7 @@
 
     __slots__ = (
         'number', 'payload', 'idempotent', 'deadline', 'resend_at',
-        'resend_after', 'resends', 'part_by_index')
+        'resend_after', 'retry_after', 'resends', 'part_by_index')
 
     def __init__(self, number, payload, idempotent, deadline, now):
         self.number = number
@@ -63,6 +67,7 @@
         self.deadline = deadline
         self.resend_at = now + FIRST_RESEND_MS
         self.resend_after = FIRST_RESEND_MS
+        self.retry_after = FIRST_RETRY_MS
         self.resends = 0
         self.part_by_index = {}
 
@@ -165,8 +170,25 @@
         exchange.resend_at = min(
             exchange.resend_at, now + event.retry_after_ms)
         return []
-    return [_finish(
-        flow, exchange, verdict.Verdict(event.verdict), event.reason, b'')]
+    decided = verdict.Verdict(event.verdict)
+    retry_at = now + max(event.retry_after_ms, exchange.retry_after)
+    if decided is verdict.Verdict.NOT_RUN and event.reason != CANCELLED and (
+            retry_at < exchange.deadline):
+        return _retry(flow, exchange, retry_at)
+    return [_finish(flow, exchange, decided, event.reason, b'')]
+
+
+def _retry(flow, exchange, retry_at):
+    r"""Schedule a new attempt, under a new number, of what did not run."""
+    del flow.exchange_by_number[exchange.number]
+    exchange.number = flow.next_number
+    flow.next_number += 1
+    flow.exchange_by_number[exchange.number] = exchange
+    exchange.part_by_index = {}
+    exchange.resend_at = retry_at
+    exchange.resend_after = FIRST_RESEND_MS
+    exchange.retry_after = min(MAXIMUM_RESEND_MS, exchange.retry_after * 2)
+    return []
 
 
 @CALLER.handles(timer.Tick)
--- a/poplarstep/configuration/machine.py
+++ b/poplarstep/configuration/machine.py
@@ -79,6 +79,9 @@
 
     """
     machine.commands += 1
+    if not entry.client:
+        # The leader's own commands may be applied again without harm.
+        return _run(machine, entry)
     session = _session(machine, entry.client)
     known = session.outcome_by_sequence.get(entry.sequence)
     if known is not None:
--- /dev/null
+++ b/poplarstep/control/application.py
@@ -0,0 +1,121 @@
+r"""Stage of a control host that applies the committed log.
+
+Explanation
+===========
+
+It follows the replica stage in the pipeline. Every committed command goes
+through the state machine exactly once and in order; the operator who waits
+for it on this host is told the outcome.
+"""
+
+from poplarstep.configuration import command
+from poplarstep.configuration import machine as machines
+from poplarstep.consensus import message as consensus
+from poplarstep.control import message
+from poplarstep.core import effect
+from poplarstep.core import stage
+from poplarstep.dissemination import message as dissemination
+
+# The log is compacted by a snapshot after this many applied entries.
+SNAPSHOT_ENTRIES = 2000
+
+APPLY = stage.Stage('apply')
+
+
+class ApplicationState:
+    r"""State machine and the functions that encode its log entries.
+
+    Parameters
+    ==========
+
+    machine : Machine
+        State machine.
+    decode : callable
+        Turns the bytes of an entry into ``Success(Command)``.
+    encode_snapshot, decode_snapshot : callable
+        Turn a ``MachineSnapshot`` into bytes and back.
+    """
+
+    __slots__ = (
+        'machine', 'decode', 'encode_snapshot', 'decode_snapshot',
+        'applied_index', 'snapshot_index', 'undecodable')
+
+    def __init__(self, machine, decode, encode_snapshot, decode_snapshot):
+        self.machine = machine
+        self.decode = decode
+        self.encode_snapshot = encode_snapshot
+        self.decode_snapshot = decode_snapshot
+        self.applied_index = 0
+        self.snapshot_index = 0
+        self.undecodable = 0
+
+
+def make_application(machine, decode, encode_snapshot, decode_snapshot):
+    r"""Return the state of a host that has applied nothing."""
+    return ApplicationState(
+        machine, decode, encode_snapshot, decode_snapshot)
+
+
+@APPLY.handles(consensus.Committed)
+def committed(state, event, now):
+    r"""Apply one entry; tell the operator and the publisher."""
+    if event.index <= state.applied_index:
+        # After a storage failure the replica may repeat commits.
+        return []
+    state.applied_index = event.index
+    messages = _apply(state, event)
+    if event.index - state.snapshot_index >= SNAPSHOT_ENTRIES:
+        state.snapshot_index = event.index
+        messages.append(effect.Loop(consensus.SnapshotTaken(
+            event.index,
+            state.encode_snapshot(machines.take_snapshot(state.machine)))))
+    return messages
+
+
+def _apply(state, event):
+    before = state.machine.catalogue.version
+    entry = state.decode(event.payload).unwrap()
+    outcome = machines.apply_command(state.machine, entry)
+    messages = []
+    if event.key:
+        messages.append(message.CommandReply(event.key, outcome, ''))
+    version = state.machine.catalogue.version
+    if version != before:
+        messages.append(dissemination.CatalogueChanged(version))
+    if entry.client:
+        messages.append(effect.LogChange('command-applied', (
+            ('client', entry.client),
+            ('sequence', entry.sequence),
+            ('status', outcome.status),
+            ('version', outcome.version),
+            ('command', type(entry.body).__name__))))
+    return messages
+
+
+@APPLY.handles(consensus.SnapshotRestored)
+def snapshot_restored(state, event, now):
+    r"""Replace the state machine by a snapshot from the leader or disk."""
+    snapshot = state.decode_snapshot(event.state).unwrap()
+    machines.restore_snapshot(state.machine, snapshot)
+    state.applied_index = event.index
+    state.snapshot_index = event.index
+    return [dissemination.CatalogueChanged(state.machine.catalogue.version)]
+
+
+@APPLY.handles(consensus.ProposalRefused)
+def proposal_refused(state, event, now):
+    r"""Tell the operator that the command is in no log."""
+    return _reply(state, event, command.REFUSED, event.reason)
+
+
+@APPLY.handles(consensus.ProposalUnknown)
+def proposal_unknown(state, event, now):
+    r"""Tell the operator that the command may still be applied."""
+    return _reply(state, event, command.UNKNOWN, 'leadership was lost')
+
+
+def _reply(state, event, status, reason):
+    if not event.key:
+        return []
+    return [message.CommandReply(event.key, command.Outcome(
+        status, state.machine.catalogue.version, reason), event.leader)]
--- a/poplarstep/core/effect.py
+++ b/poplarstep/core/effect.py
@@ -63,3 +63,16 @@
 
     def __init__(self, message: record.Record):
         self.message = message
+
+
+class Abort(record.Record):
+    r"""Result of carrying out an effect that failed.
+
+    The effects that follow it in the same batch are dropped, and the
+    message enters the pipeline before any other.
+    """
+
+    __slots__ = ('message',)
+
+    def __init__(self, message: record.Record):
+        self.message = message
--- a/poplarstep/edge/link.py
+++ b/poplarstep/edge/link.py
@@ -13,9 +13,9 @@
 """
 
 import gevent
-import pynng
 from gevent import queue
 from gevent import socket as gevent_socket
+import pynng
 from returns import result
 
 from poplarstep.core import address
@@ -187,7 +187,8 @@
 
     def _push(self, socket, data):
         try:
-            gevent_socket.wait_write(
+            # The descriptor turns readable when a message can be sent.
+            gevent_socket.wait_read(
                 socket.send_fd,
                 timeout=SILENT_MS / clock.MILLISECONDS_PER_SECOND)
             socket.send(data, block=False)
--- a/poplarstep/edge/task.py
+++ b/poplarstep/edge/task.py
@@ -9,8 +9,10 @@
 a message arrives or the next timer is due.
 """
 
-import gevent
+import collections
+
 from absl import logging
+import gevent
 from gevent import queue
 
 from poplarstep.core import effect
@@ -84,12 +86,17 @@
 
     def process(self, message):
         r"""Run one message and all that follow from it."""
-        waiting = [message]
+        waiting = collections.deque([message])
         while waiting:
-            now = clock.now_ms()
             self.counters.messages += 1
-            for item in self.pipeline.process(waiting.pop(0), now):
-                waiting.extend(self._perform(item))
+            produced = self.pipeline.process(
+                waiting.popleft(), clock.now_ms())
+            for item in produced:
+                outcome = self._perform(item)
+                if type(outcome) is effect.Abort:
+                    waiting.appendleft(outcome.message)
+                    break
+                waiting.extend(outcome)
 
     def _perform(self, item):
         performer = self.performer_by_type.get(type(item))
--- a/poplarstep/edge/web.py
+++ b/poplarstep/edge/web.py
@@ -1,9 +1,10 @@
 r"""HTTP server of a process: probes, metrics and registered routes."""
 
 import json
+import socket
 
-import aioprometheus
 from absl import logging
+import aioprometheus
 from gevent import pywsgi
 from returns import result
 
@@ -74,6 +75,9 @@
     server = pywsgi.WSGIServer((bound.ip, bound.port), routes, log=None)
     try:
         server.start()
+        # Accepted sockets inherit the option; without it every answer waits
+        # 40 ms for a delayed acknowledgement.
+        server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     except OSError as error:
         return result.Failure(
             'cannot listen on HTTP address %s: %s' % (bound, error.strerror))
@@ -96,4 +100,3 @@
         logging.warning('http-request-failed path=%s error=%s',
                         environ['PATH_INFO'], error)
         return json_reply({'error': str(error)}, 400)
-
--- /dev/null
+++ b/poplarstep/edge/wire.py
@@ -0,0 +1,18 @@
+r"""The closed sets of messages that each kind of link carries."""
+
+from poplarstep.configuration import command
+from poplarstep.configuration import machine
+from poplarstep.consensus import peer
+from poplarstep.dissemination import message as dissemination
+from poplarstep.edge import codec
+
+
+def make_control_codec():
+    r"""Return the codec of all control messages between processes."""
+    return codec.Codec(
+        (dissemination.Poll, dissemination.Update) + peer.PEER_MESSAGES)
+
+
+def make_command_codec():
+    r"""Return the codec of the log's commands and of snapshots."""
+    return codec.Codec([command.Command, machine.MachineSnapshot])
--- a/poplarstep/flow/packet.py
+++ b/poplarstep/flow/packet.py
@@ -244,3 +244,6 @@
         self.target = target
         self.load = load
         self.packet = packet
+
+
+FROM_CALLER = frozenset([Open, Request, Cancel, Close])
--- a/poplarstep/flow/token.py
+++ b/poplarstep/flow/token.py
@@ -130,3 +130,20 @@
 
 def _tag(key, body):
     return hashlib.blake2b(body, digest_size=TAG_BYTES, key=key).digest()
+
+
+class OpaqueTokens:
+    r"""Passes tokens on as bytes, for callers, who have no key."""
+
+    __slots__ = ()
+
+    def seal(self, token):
+        r"""Return the bytes that ``unseal`` kept."""
+        return token
+
+    def unseal(self, sealed):
+        r"""Return the sealed token unchanged."""
+        return result.Success(sealed)
+
+
+OPAQUE = OpaqueTokens()
--- /dev/null
+++ b/poplarstep/programs/agent.py
@@ -0,0 +1,183 @@
+r"""Builds an agent: sockets, target client and the pipeline of stages."""
+
+import msgspec
+from returns import result
+
+from poplarstep.configuration import catalogue as catalogues
+from poplarstep.core import address
+from poplarstep.core import effect
+from poplarstep.core import stage
+from poplarstep.dissemination import subscriber
+from poplarstep.edge import codec
+from poplarstep.edge import datagrams
+from poplarstep.edge import proxy_header
+from poplarstep.edge import target_client
+from poplarstep.edge import web
+from poplarstep.flow import packet
+from poplarstep.flow import token
+from poplarstep.programs import node as nodes
+from poplarstep.requests import admission
+from poplarstep.requests import announcing
+from poplarstep.requests import message
+from poplarstep.requests import ownership
+from poplarstep.requests import state as states
+from poplarstep.requests import verification
+
+
+def build(settings):
+    r"""Return ``Success(Node)`` of a running agent or ``Failure``."""
+    node = nodes.make_node(settings)
+    packets = codec.make_data_path_codec(
+        token.Sealer(settings['cluster-key']))
+    links = nodes.open_links(node)
+    front = datagrams.open_datagram_socket(
+        settings['agent-address'], make_decoder(packets))
+    for opened in (links, front):
+        if isinstance(opened, result.Failure):
+            return opened
+    front, links = front.unwrap(), links.unwrap()
+    client = target_client.TargetClient(lambda batch: node.task.post(batch))
+    pipeline, agent, admitted = make_pipeline(settings)
+    nodes.subscribe(node, subscriber, ownership, admission)
+    node.exporter.add_counters('agent', agent.counters)
+    node.exporter.add_values(lambda: _load_rows(admitted))
+    node.status = lambda: _status(agent, admitted)
+    node.ready = lambda: states.own_target(agent) is not None
+    node.leave = lambda: _leave(node, agent)
+    _register_announce(node)
+    return nodes.finish(
+        node, pipeline, make_performers(packets, front, links, client),
+        links, {'front': front})
+
+
+def make_pipeline(settings):
+    r"""Return the pipeline of an agent and the states to watch.
+
+    Returns
+    =======
+
+    tuple
+        ``(Pipeline, AgentState, AdmissionState)``.
+    """
+    catalogue = catalogues.Catalogue()
+    incarnation = nodes.new_incarnation()
+    subscribed = subscriber.make_subscriber(
+        settings['node'], 'agent', incarnation, catalogue,
+        settings['upstreams'])
+    agent = states.make_agent_state(
+        settings['node'], settings['data-centre'],
+        settings['agent-address'], incarnation, catalogue,
+        settings['flow-idle'], settings['answer-bytes'])
+    admitted = admission.make_admission_state(
+        agent, settings['queue-length'])
+    pipeline = stage.Pipeline([
+        (announcing.ANNOUNCE, agent),
+        (subscriber.SUBSCRIBER, subscribed),
+        (verification.VERIFY, agent),
+        (ownership.REQUESTS, agent),
+        (admission.ADMISSION, admitted),
+    ])
+    return pipeline, agent, admitted
+
+
+def make_decoder(packets):
+    r"""Return the decoder of datagrams from balancers."""
+    def decode(source, data):
+        return packets.decode(data).bind(lambda item: _arrival(source, item))
+    return decode
+
+
+def _arrival(source, item):
+    if type(item) is not packet.Forwarded:
+        return result.Failure(
+            '%s does not come from balancers' % type(item).__name__)
+    return result.Success(message.Arrival(address.Address(*source), item))
+
+
+def make_performers(packets, front, links, client):
+    r"""Return the functions that carry out an agent's effects."""
+    def send_packet(item):
+        front.send(item.destination, packets.encode(item.packet))
+        return ()
+
+    def egress(item):
+        path = item.path
+        front.send(path.fabric, proxy_header.encode(
+            path.service, path.caller, packets.encode(item.packet)))
+        return ()
+
+    return {
+        effect.SendPacket: send_packet,
+        packet.Egress: egress,
+        effect.SendControl: links.send,
+        message.TargetState: lambda item: client.connect(item.address),
+        message.CallTarget: client.call,
+        message.CancelCall: client.cancel,
+    }
+
+
+class AnnounceBody(msgspec.Struct, forbid_unknown_fields=True):
+    r"""JSON body of a target's announcement."""
+
+    service: str
+    address: str
+    incarnation: int
+    slots: int
+    connections: int
+    cold_limit: int = 1
+    leaving: bool = False
+
+
+def parse_announcement(body):
+    r"""Return ``Success(TargetState)`` or ``Failure(message)``."""
+    try:
+        read = msgspec.json.decode(body, type=AnnounceBody)
+    except msgspec.DecodeError as error:
+        return result.Failure('announcement: %s' % error)
+    for name in ('slots', 'connections', 'cold_limit'):
+        if not 1 <= getattr(read, name) <= 1_000_000:
+            return result.Failure(
+                'announcement: %s must be from 1 to 1000000' % name)
+    return address.parse(read.address).map(
+        lambda place: message.TargetState(
+            read.service, place, read.incarnation, read.slots,
+            read.connections, read.cold_limit, read.leaving))
+
+
+def _register_announce(node):
+    @node.routes.route('POST', '/announce')
+    def announce(body):
+        parsed = parse_announcement(body)
+        if isinstance(parsed, result.Failure):
+            return web.json_reply({'error': parsed.failure()}, 400)
+        node.task.post([parsed.unwrap()])
+        return web.json_reply({'accepted': True})
+
+
+def _leave(node, agent):
+    node.task.post([message.Leave()])
+    return nodes.Drain(
+        lambda: not agent.flow_by_serial,
+        lambda: states.unfinished(agent))
+
+
+def _status(agent, admitted):
+    target = states.own_target(agent)
+    return {
+        'version': agent.catalogue.version,
+        'target': target.number if target else None,
+        'flows': len(agent.flow_by_serial),
+        'in_flight': len(admitted.in_flight),
+        'queued': len(admitted.queue),
+        'limit': admitted.ramp.limit(),
+        'cold': admitted.ramp.is_cold(),
+    }
+
+
+def _load_rows(admitted):
+    return [
+        ('agent_flows', {}, len(admitted.agent.flow_by_serial)),
+        ('agent_in_flight', {}, len(admitted.in_flight)),
+        ('agent_queued', {}, len(admitted.queue)),
+        ('agent_limit', {}, admitted.ramp.limit()),
+    ]
--- /dev/null
+++ b/poplarstep/programs/balancer.py
@@ -0,0 +1,159 @@
+r"""Builds a balancer: sockets, codecs and the pipeline of its stages."""
+
+import random
+
+from returns import result
+
+from poplarstep.configuration import catalogue as catalogues
+from poplarstep.core import address
+from poplarstep.core import effect
+from poplarstep.core import stage
+from poplarstep.dissemination import publisher
+from poplarstep.dissemination import subscriber
+from poplarstep.edge import clock
+from poplarstep.edge import codec
+from poplarstep.edge import datagrams
+from poplarstep.edge import proxy_header
+from poplarstep.flow import packet
+from poplarstep.flow import token
+from poplarstep.limits import budget
+from poplarstep.limits import shedder
+from poplarstep.programs import node as nodes
+from poplarstep.routing import gate
+from poplarstep.routing import opening
+from poplarstep.routing import selectors
+from poplarstep.routing import state as states
+
+
+def build(settings):
+    r"""Return ``Success(Node)`` of a running balancer or ``Failure``."""
+    node = nodes.make_node(settings)
+    packets = codec.make_data_path_codec(
+        token.Sealer(settings['cluster-key']))
+    links = nodes.open_links(node)
+    front = datagrams.open_datagram_socket(
+        settings['front-address'], make_front_decoder(packets))
+    back = datagrams.open_datagram_socket(
+        settings['back-address'], make_back_decoder(packets))
+    for opened in (links, front, back):
+        if isinstance(opened, result.Failure):
+            return opened
+    front, back, links = front.unwrap(), back.unwrap(), links.unwrap()
+    pipeline, subscribed, balancer = make_pipeline(settings)
+    nodes.subscribe(node, subscriber, publisher, opening)
+    node.exporter.add_counters('balancer', balancer.counters)
+    node.exporter.add_values(lambda: _service_rows(balancer))
+    node.status = lambda: {
+        'version': subscribed.catalogue.version,
+        'confirmed': balancer.confirmed(clock.now_ms()),
+        'pending_opens': len(balancer.pending_by_attempt),
+    }
+    # The fabric may go on sending for a while after /readyz turned to 503.
+    node.leave = lambda: nodes.Drain(lambda: False, lambda: 0)
+    node.ready = lambda: balancer.confirmed(clock.now_ms())
+    return nodes.finish(
+        node, pipeline,
+        make_performers(packets, front, back, links),
+        links, {'front': front, 'back': back})
+
+
+def make_pipeline(settings):
+    r"""Return the pipeline of a balancer and the states to watch.
+
+    Returns
+    =======
+
+    tuple
+        ``(Pipeline, SubscriberState, BalancerState)``.
+    """
+    catalogue = catalogues.Catalogue()
+    subscribed = subscriber.make_subscriber(
+        settings['node'], 'balancer', nodes.new_incarnation(), catalogue,
+        settings['upstreams'])
+    published = publisher.make_publisher(
+        catalogue, subscribed.gathered,
+        lambda now: max(0, subscribed.lease_until - now),
+        lambda: None)
+    serve_anyway = settings['without-control'] == 'serve'
+    generator = random.Random()
+    now = clock.now_ms()
+    balancer = states.make_balancer_state(
+        catalogue,
+        lambda now: subscriber.lease_holds(subscribed, now) or (
+            serve_anyway and catalogue.version > 0),
+        lambda: selectors.make_selector(settings['selector'], generator),
+        budget.make_retry_budget(now=now),
+        shedder.make_shedder(settings['opens-per-second'], now))
+    pipeline = stage.Pipeline([
+        (subscriber.SUBSCRIBER, subscribed),
+        (publisher.PUBLISHER, published),
+        (gate.GATE, balancer),
+        (opening.SELECT, balancer),
+    ])
+    return pipeline, subscribed, balancer
+
+
+def make_front_decoder(packets):
+    r"""Return the decoder of datagrams from the fabric."""
+    def decode(source, data):
+        framed = proxy_header.decode(data)
+        if isinstance(framed, result.Failure):
+            return framed
+        caller, service, body = framed.unwrap()
+        return packets.decode(body).bind(lambda item: _ingress(
+            source, caller, service, item))
+    return decode
+
+
+def _ingress(source, caller, service, item):
+    if type(item) not in packet.FROM_CALLER:
+        return result.Failure(
+            '%s does not come from callers' % type(item).__name__)
+    return result.Success(packet.Ingress(packet.ReturnPath(
+        address.Address(*source), caller, service), item))
+
+
+def make_back_decoder(packets):
+    r"""Return the decoder of datagrams from agents."""
+    def decode(source, data):
+        return packets.decode(data).bind(_outcome)
+    return decode
+
+
+def _outcome(item):
+    if type(item) is not packet.OpenOutcome:
+        return result.Failure(
+            '%s does not come from agents' % type(item).__name__)
+    return result.Success(opening.OutcomeArrived(item))
+
+
+def make_performers(packets, front, back, links):
+    r"""Return the functions that carry out a balancer's effects."""
+    def send_packet(item):
+        back.send(item.destination, packets.encode(item.packet))
+        return ()
+
+    def egress(item):
+        path = item.path
+        front.send(path.fabric, proxy_header.encode(
+            path.service, path.caller, packets.encode(item.packet)))
+        return ()
+
+    return {
+        effect.SendPacket: send_packet,
+        packet.Egress: egress,
+        effect.SendControl: links.send,
+    }
+
+
+def _service_rows(balancer):
+    service_by_number = balancer.catalogue.service_by_number
+    rows = []
+    for name, counts in (
+            ('service_opens', balancer.opens_by_service),
+            ('service_opens_refused', balancer.refused_by_service)):
+        rows.extend(
+            (name, {'service': service_by_number[number].name}, count)
+            for number, count in counts.items()
+            if number in service_by_number)
+    return rows
--- /dev/null
+++ b/poplarstep/programs/control.py
@@ -0,0 +1,249 @@
+r"""Builds a control host: storage, replica, state machine and publisher."""
+
+import itertools
+
+import gevent
+from gevent import event as gevent_event
+import msgspec
+from returns import result
+
+from poplarstep.configuration import machine as machines
+from poplarstep.consensus import message as consensus
+from poplarstep.consensus import replica as replicas
+from poplarstep.consensus import state as consensus_states
+from poplarstep.control import application
+from poplarstep.control import intake
+from poplarstep.control import message
+from poplarstep.control import query
+from poplarstep.core import effect
+from poplarstep.core import stage
+from poplarstep.dissemination import gathering
+from poplarstep.dissemination import publisher
+from poplarstep.edge import clock
+from poplarstep.edge import storage as storages
+from poplarstep.edge import web
+from poplarstep.edge import wire
+from poplarstep.language import parser
+from poplarstep.language import statement as statements
+from poplarstep.programs import node as nodes
+
+# An operator's request that the log has not decided by then is answered
+# "unknown"; the tool asks again under the same identity.
+OPERATOR_TIMEOUT_MS = 4000
+
+
+class CommandBody(msgspec.Struct, forbid_unknown_fields=True):
+    r"""JSON body of ``POST /command``."""
+
+    client: str
+    sequence: int
+    text: str
+
+
+class QueryBody(msgspec.Struct, forbid_unknown_fields=True):
+    r"""JSON body of ``POST /query``."""
+
+    text: str
+
+
+class Waiters:
+    r"""Operators' requests that wait for an answer, by key."""
+
+    __slots__ = ('result_by_key', 'keys')
+
+    def __init__(self):
+        self.result_by_key = {}
+        self.keys = itertools.count(1)
+
+    def ask(self, task, make_message):
+        r"""Post a message with a new key; return its answer or None."""
+        key = next(self.keys)
+        waiting = gevent_event.AsyncResult()
+        self.result_by_key[key] = waiting
+        task.post([make_message(key)])
+        try:
+            return waiting.get(
+                timeout=OPERATOR_TIMEOUT_MS / clock.MILLISECONDS_PER_SECOND)
+        except gevent.Timeout:
+            return None
+        finally:
+            del self.result_by_key[key]
+
+    def reply(self, item):
+        r"""Carry out ``CommandReply`` and ``QueryReply``."""
+        waiting = self.result_by_key.get(item.key)
+        if waiting is not None:
+            waiting.set(item)
+
+
+def build(settings):
+    r"""Return ``Success(Node)`` of a running control host or ``Failure``."""
+    opened = storages.open_folder(settings['data-folder'])
+    if isinstance(opened, result.Failure):
+        return opened
+    storage = opened.unwrap()
+    node = nodes.make_node(settings)
+    links = nodes.open_links(node)
+    if isinstance(links, result.Failure):
+        storage.close()
+        return links
+    links = links.unwrap()
+    replica = make_replica(settings, storage.loaded)
+    pipeline, machine, gathered = make_pipeline(settings, replica)
+    waiters = Waiters()
+    node.timers.subscribe(
+        replicas.TICK.name, replicas.TICK_MS, clock.now_ms())
+    nodes.subscribe(node, intake, publisher)
+    node.exporter.add_counters('consensus', replica.counters)
+    node.exporter.add_values(lambda: [
+        ('control_version', {}, machine.catalogue.version),
+        ('control_targets', {}, len(machine.catalogue.target_by_number)),
+        ('control_nodes', {}, len(gathered.position_by_node)),
+        ('control_leads', {}, int(replica.role == consensus_states.LEADER)),
+    ])
+    node.status = lambda: _status(replica, machine)
+    node.ready = lambda: replica.leader is not None
+    node.closers.append(storage.close)
+    _register_operator_routes(node, waiters)
+    finished = nodes.finish(
+        node, pipeline, make_performers(storage, links, waiters), links, {})
+    if not isinstance(finished, result.Failure):
+        node.task.post(replicas.start(replica))
+    return finished
+
+
+def make_replica(settings, loaded):
+    r"""Return the replica state that continues from a data folder."""
+    return replicas.make_replica(
+        consensus.HostIdentity(settings['node'], loaded.disk),
+        settings['control-address'], settings['control-hosts'],
+        settings['start'] == 'bootstrap', consensus_states.make_random(),
+        clock.now_ms(), loaded.term, loaded.voted_for, loaded.snapshot,
+        loaded.entries)
+
+
+def make_pipeline(settings, replica):
+    r"""Return the pipeline of a control host and the states to watch.
+
+    Returns
+    =======
+
+    tuple
+        ``(Pipeline, Machine, Gathering)``.
+    """
+    machine = machines.Machine()
+    gathered = gathering.Gathering()
+    commands = wire.make_command_codec()
+
+    def current(now):
+        return replicas.read_allowed(replica, now)
+
+    published = publisher.make_publisher(
+        machine.catalogue, gathered,
+        lambda now: publisher.LEASE_MS if current(now) else 0,
+        lambda: leader_inbox(replica))
+    pipeline = stage.Pipeline([
+        (query.QUERY, query.make_query_state(
+            machine, gathered, current,
+            lambda: consensus_states.leader_name(replica),
+            lambda: control_rows(replica))),
+        (intake.INTAKE, intake.make_intake(
+            machine, gathered, current, commands.encode)),
+        (replicas.REPLICA, replica),
+        (application.APPLY, application.make_application(
+            machine, commands.decode, commands.encode, commands.decode)),
+        (publisher.PUBLISHER, published),
+    ])
+    return pipeline, machine, gathered
+
+
+def leader_inbox(replica):
+    r"""Return the inbox of the leader, or None while there is none."""
+    for member in replica.log.members:
+        if member.identity == replica.leader:
+            return member.address
+    return None
+
+
+def control_rows(replica):
+    r"""Return the rows of ``show control``."""
+    rows = []
+    for member in replica.log.members:
+        progress = replica.progress_by_identity.get(member.identity)
+        leads = member.identity == replica.leader
+        rows.append((
+            member.identity.name, str(member.address),
+            'leader' if leads else 'follower',
+            member.voter, progress.match_index if progress else None))
+    return rows
+
+
+def make_performers(storage, links, waiters):
+    r"""Return the functions that carry out a control host's effects."""
+    def store(item):
+        stored = storage.perform(item)
+        if isinstance(stored, result.Failure):
+            return effect.Abort(consensus.StorageFailed(stored.failure()))
+        return ()
+
+    performers = {
+        item: store for item in consensus.STORAGE_EFFECTS}
+    performers.update({
+        consensus.Stored: lambda item: [item],
+        consensus.Proposed: lambda item: (),
+        consensus.MembershipChanged: lambda item: (),
+        consensus.LeadershipChanged: lambda item: (),
+        consensus.LeaseExtended: lambda item: (),
+        effect.SendControl: links.send,
+        message.CommandReply: waiters.reply,
+        message.QueryReply: waiters.reply,
+    })
+    return performers
+
+
+def _register_operator_routes(node, waiters):
+    @node.routes.route('POST', '/command')
+    def command_page(body):
+        asked = msgspec.json.decode(body, type=CommandBody)
+        parsed = parser.parse(asked.text)
+        if isinstance(parsed, result.Failure):
+            return web.json_reply({'error': parsed.failure()}, 400)
+        statement = parsed.unwrap()
+        if not statements.is_command(statement):
+            return web.json_reply({'error': 'not a command'}, 400)
+        reply = waiters.ask(node.task, lambda key: message.OperatorCommand(
+            key, asked.client, asked.sequence, statement))
+        if reply is None:
+            return web.json_reply({
+                'status': 'unknown', 'version': 0, 'leader': '',
+                'reason': 'no outcome within %d ms' % OPERATOR_TIMEOUT_MS})
+        return web.json_reply({
+            'status': reply.outcome.status,
+            'version': reply.outcome.version,
+            'reason': reply.outcome.reason,
+            'leader': reply.leader})
+
+    @node.routes.route('POST', '/query')
+    def query_page(body):
+        asked = msgspec.json.decode(body, type=QueryBody)
+        parsed = parser.parse(asked.text)
+        if isinstance(parsed, result.Failure):
+            return web.json_reply({'error': parsed.failure()}, 400)
+        reply = waiters.ask(node.task, lambda key: message.OperatorQuery(
+            key, parsed.unwrap()))
+        if reply is None:
+            return web.json_reply({'error': 'no answer in time'}, 503)
+        return web.json_reply({
+            'columns': reply.columns, 'rows': reply.rows,
+            'current': reply.current, 'leader': reply.leader,
+            'version': reply.version})
+
+
+def _status(replica, machine):
+    return {
+        'version': machine.catalogue.version,
+        'control_role': replica.role,
+        'leader': consensus_states.leader_name(replica),
+        'term': replica.term,
+        'commit_index': replica.commit_index,
+    }
--- /dev/null
+++ b/poplarstep/programs/node.py
@@ -0,0 +1,154 @@
+r"""Parts that the three kinds of node have in common."""
+
+import time
+
+import gevent
+from returns import result
+
+from poplarstep.core import timer
+from poplarstep.edge import clock
+from poplarstep.edge import link
+from poplarstep.edge import metrics
+from poplarstep.edge import task as tasks
+from poplarstep.edge import web
+from poplarstep.edge import wire
+
+
+class Drain:
+    r"""How far a graceful shutdown is.
+
+    Parameters
+    ==========
+
+    idle : callable
+        Returns whether the node may stop before its drain time ends.
+    unfinished : callable
+        Returns the number of requests that a stop would cut now.
+    """
+
+    __slots__ = ('idle', 'unfinished')
+
+    def __init__(self, idle, unfinished):
+        self.idle = idle
+        self.unfinished = unfinished
+
+
+class Node:
+    r"""A running node: its task, sockets and reader greenlets.
+
+    Parameters
+    ==========
+
+    status : callable
+        Returns a dictionary for ``/status``.
+    ready : callable
+        Returns whether the node may take traffic.
+    leave : callable
+        Starts a graceful shutdown and returns its ``Drain``.
+    """
+
+    __slots__ = (
+        'settings', 'task', 'links', 'routes', 'exporter', 'closers',
+        'readers', 'status', 'ready', 'leave', 'timers')
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.timers = timer.TimerQueue()
+        self.routes = web.Routes()
+        self.exporter = metrics.Exporter({
+            'node': settings['node'], 'role': settings['role'],
+            'data_centre': settings['data-centre']})
+        self.closers = []
+        self.readers = []
+        self.task = None
+        self.links = None
+        self.status = dict
+        self.ready = lambda: False
+        self.leave = lambda: Drain(lambda: True, lambda: 0)
+
+
+def make_node(settings):
+    r"""Return a node without a task."""
+    return Node(settings)
+
+
+def new_incarnation():
+    r"""Return a number that identifies this run; later runs are larger."""
+    return time.time_ns()
+
+
+def subscribe(node, *modules):
+    r"""Subscribe the ticks of stage modules to the timer service."""
+    for module in modules:
+        node.timers.subscribe(
+            module.TICK, module.TICK_PERIOD_MS, clock.now_ms())
+
+
+def open_links(node):
+    r"""Open the control links; return ``Success(Links)`` or ``Failure``."""
+    return link.open_links(
+        node.settings['control-address'], wire.make_control_codec(),
+        node.settings['cluster'])
+
+
+def finish(node, pipeline, performer_by_type, links, sockets):
+    r"""Give the node its task and start the readers and the HTTP server.
+
+    Returns
+    =======
+
+    Result
+        ``Success(node)`` or ``Failure(message)``.
+    """
+    node.links = links
+    node.task = tasks.Task(
+        node.settings['node'], pipeline, node.timers, performer_by_type)
+    node.exporter.add_counters('task', node.task.counters)
+    node.exporter.add_counters('control_link', links.counters)
+    for name, item in sockets.items():
+        node.exporter.add_counters(name, item.counters)
+        node.closers.append(item.close)
+    node.closers.append(links.close)
+    _register_routes(node)
+    served = web.serve(node.settings['http-address'], node.routes)
+    if isinstance(served, result.Failure):
+        return served
+    node.closers.append(served.unwrap().stop)
+    node.readers = [
+        gevent.spawn(item.read_loop, node.task.post)
+        for item in [links, *sockets.values()]]
+    node.readers.append(tasks.start(node.task))
+    return result.Success(node)
+
+
+def close(node):
+    r"""Stop the task and close all sockets."""
+    node.task.stop()
+    gevent.killall(node.readers)
+    for closer in node.closers:
+        closer()
+
+
+def _register_routes(node):
+    @node.routes.route('GET', '/healthz')
+    def healthz(body):
+        return web.json_reply({'alive': True})
+
+    @node.routes.route('GET', '/readyz')
+    def readyz(body):
+        ready = node.ready()
+        return web.json_reply({'ready': ready}, 200 if ready else 503)
+
+    @node.routes.route('GET', '/metrics')
+    def metrics_page(body):
+        return node.exporter.reply()
+
+    @node.routes.route('GET', '/status')
+    def status(body):
+        return web.json_reply({
+            'node': node.settings['node'],
+            'role': node.settings['role'],
+            'data_centre': node.settings['data-centre'],
+            **node.status(),
+            'values': [list(row) for row in node.exporter.values()],
+        })
--- /dev/null
+++ b/poplarstep/programs/settings.py
@@ -0,0 +1,251 @@
+r"""The one table of settings: flags, environment variables and checks.
+
+Explanation
+===========
+
+Every setting has a flag ``--name`` and a variable ``POPLARSTEP_NAME``; the
+flag goes first. All faults are reported together, each with the name, the
+value and what is allowed.
+"""
+
+import re
+
+from returns import result
+
+from poplarstep.consensus import state as consensus
+from poplarstep.core import address
+from poplarstep.core import record
+from poplarstep.core import registry
+from poplarstep.routing import selectors
+
+PREFIX = 'POPLARSTEP_'
+ROLES = ('control', 'balancer', 'agent')
+ALL = ROLES
+NAME_PATTERN = re.compile(r'[A-Za-z0-9][A-Za-z0-9./-]{0,99}')
+MINIMUM_KEY_BYTES = 16
+
+KINDS = registry.Registry('kind of setting')
+
+
+class Setting(record.Record):
+    r"""One row of the table.
+
+    Parameters
+    ==========
+
+    kind : str
+        Name in ``KINDS``.
+    default : str or None
+        Text of the default; None means that the setting is required.
+    unit : str
+        Unit of a number, or an empty string.
+    allowed : tuple
+        Lowest and highest number, or the allowed words.
+    roles : tuple of str
+        Roles that read the setting.
+    """
+
+    __slots__ = (
+        'name', 'kind', 'default', 'unit', 'allowed', 'roles', 'help')
+
+    def __init__(self, name, kind, default, unit, allowed, roles, help):
+        self.name = name
+        self.kind = kind
+        self.default = default
+        self.unit = unit
+        self.allowed = allowed
+        self.roles = roles
+        self.help = help
+
+    @property
+    def flag(self):
+        r"""Return the flag, for example ``--data-centre``."""
+        return '--' + self.name
+
+    @property
+    def variable(self):
+        r"""Return the environment variable."""
+        return PREFIX + self.name.replace('-', '_').upper()
+
+
+TABLE = (
+    Setting('role', 'word', None, '', ROLES, ALL,
+            'what this process is'),
+    Setting('node', 'name', None, '', (), ALL,
+            'unique name of this node'),
+    Setting('data-centre', 'name', None, '', (), ALL,
+            'data centre of this host'),
+    Setting('cluster', 'name', 'poplarstep', '', (), ALL,
+            'control messages of other clusters are dropped'),
+    Setting('cluster-key', 'keys', None, '', (), ('balancer', 'agent'),
+            'keys that seal flow tokens, newest first, comma separated'),
+    Setting('control-address', 'address', None, '', (), ALL,
+            'inbox for control messages'),
+    Setting('http-address', 'address', None, '', (), ALL,
+            'probes, metrics and the operators\' or the target\'s requests'),
+    Setting('upstreams', 'addresses', None, '', (), ('balancer', 'agent'),
+            'inboxes of control hosts or relays, tried in turn'),
+    Setting('front-address', 'address', None, '', (), ('balancer',),
+            'UDP address at which the fabric reaches this balancer'),
+    Setting('back-address', 'address', None, '', (), ('balancer',),
+            'UDP address at which agents answer this balancer'),
+    Setting('selector', 'word', selectors.DEFAULT_SELECTOR, '',
+            tuple(selectors.SELECTORS.names()), ('balancer',),
+            'how a target is chosen for a new flow'),
+    Setting('opens-per-second', 'number', '20000', '1/s',
+            (1, 1_000_000), ('balancer',),
+            'new flows above this rate are shed, lowest priority first'),
+    Setting('without-control', 'word', 'refuse', '', ('refuse', 'serve'),
+            ('balancer',),
+            'what to do when the configuration is not confirmed'),
+    Setting('agent-address', 'address', None, '', (), ('agent',),
+            'UDP address at which balancers reach this agent'),
+    Setting('flow-idle', 'number', '3600000', 'ms',
+            (1000, 86_400_000), ('agent',),
+            'a flow without a packet for this long is dropped'),
+    Setting('answer-bytes', 'number', '8388608', 'bytes',
+            (65_536, 1_073_741_824), ('agent',),
+            'recorded answers that are kept for resends'),
+    Setting('queue-length', 'number', '2048', 'requests', (1, 65_536),
+            ('agent',), 'requests that may wait at this agent'),
+    Setting('data-folder', 'text', None, '', (), ('control',),
+            'folder of the replicated log'),
+    Setting('control-hosts', 'seeds', None, '', (), ('control',),
+            'NAME=IP:PORT of all control hosts, comma separated'),
+    Setting('start', 'word', 'join', '', ('bootstrap', 'join'),
+            ('control',),
+            'whether this host may take part in forming a new group'),
+    Setting('drain-time', 'number', '5000', 'ms', (0, 3_600_000), ALL,
+            'time for a graceful shutdown'),
+    Setting('log-level', 'word', 'info', '',
+            ('debug', 'info', 'warning', 'error'), ALL, 'lowest level'),
+)
+SETTING_BY_NAME = {item.name: item for item in TABLE}
+
+
+def read_settings(flags, environment):
+    r"""Return ``Success(dict by name)`` or ``Failure(tuple of faults)``.
+
+    Parameters
+    ==========
+
+    flags : dict
+        Text by setting name; absent flags are missing or None.
+    environment : dict
+        The process environment.
+
+    Examples
+    ========
+
+    >>> faults = read_settings({'role': 'agent', 'flow-idle': '5'}, {})
+    >>> [text for text in faults.failure() if 'flow-idle' in text]
+    ["--flow-idle: '5' is not a whole number from 1000 to 86400000 ms"]
+
+    """
+    faults = _unknown_variables(environment)
+    role = flags.get('role') or environment.get(PREFIX + 'ROLE')
+    value_by_name = {}
+    for setting in TABLE:
+        if role in ROLES and role not in setting.roles:
+            continue
+        text = flags.get(setting.name)
+        if text is None:
+            text = environment.get(setting.variable, setting.default)
+        if text is None:
+            if setting.name == 'role' or role in ROLES:
+                faults.append('%s: is required (or %s)' % (
+                    setting.flag, setting.variable))
+            continue
+        checked = KINDS.entry_by_name[setting.kind](setting, text)
+        if isinstance(checked, result.Failure):
+            faults.append('%s: %s' % (setting.flag, checked.failure()))
+        else:
+            value_by_name[setting.name] = checked.unwrap()
+    if faults:
+        return result.Failure(tuple(faults))
+    return result.Success(value_by_name)
+
+
+def _unknown_variables(environment):
+    known = {item.variable for item in TABLE}
+    return [
+        '%s: is not a setting; known: %s' % (
+            name, ', '.join(sorted(known)))
+        for name in sorted(environment)
+        if name.startswith(PREFIX) and name not in known]
+
+
+@KINDS.register('text')
+def _text(setting, text):
+    if not text:
+        return result.Failure('must not be empty')
+    return result.Success(text)
+
+
+@KINDS.register('word')
+def _word(setting, text):
+    if text not in setting.allowed:
+        return result.Failure('%r is not one of %s' % (
+            text, ', '.join(setting.allowed)))
+    return result.Success(text)
+
+
+@KINDS.register('name')
+def _name(setting, text):
+    if not NAME_PATTERN.fullmatch(text):
+        return result.Failure(
+            '%r is not a name of 1 to 100 letters, digits, dots, dashes '
+            'and slashes' % text)
+    return result.Success(text)
+
+
+@KINDS.register('number')
+def _number(setting, text):
+    lowest, highest = setting.allowed
+    if not text.isdecimal() or not lowest <= int(text) <= highest:
+        return result.Failure('%r is not a whole number from %d to %d %s' % (
+            text, lowest, highest, setting.unit))
+    return result.Success(int(text))
+
+
+@KINDS.register('address')
+def _address(setting, text):
+    return address.parse(text)
+
+
+@KINDS.register('addresses')
+def _addresses(setting, text):
+    parsed = [address.parse(item) for item in text.split(',')]
+    return _all(parsed)
+
+
+@KINDS.register('keys')
+def _keys(setting, text):
+    keys = [item.encode() for item in text.split(',')]
+    if min(len(key) for key in keys) < MINIMUM_KEY_BYTES or (
+            max(len(key) for key in keys) > 64):
+        # The key itself is a secret and stays out of the message.
+        return result.Failure('each key must have %d to 64 bytes'
+                              % MINIMUM_KEY_BYTES)
+    return result.Success(tuple(keys))
+
+
+@KINDS.register('seeds')
+def _seeds(setting, text):
+    parsed = []
+    for item in text.split(','):
+        name, separator, place = item.partition('=')
+        if not separator or not NAME_PATTERN.fullmatch(name):
+            return result.Failure('%r is not of the form NAME=IP:PORT' % item)
+        parsed.append(address.parse(place).map(
+            lambda value, name=name: consensus.Seed(name, value)))
+    return _all(parsed)
+
+
+def _all(results):
+    failures = [
+        item.failure() for item in results
+        if isinstance(item, result.Failure)]
+    if failures:
+        return result.Failure('; '.join(failures))
+    return result.Success(tuple(item.unwrap() for item in results))
--- a/poplarstep/requests/admission.py
+++ b/poplarstep/requests/admission.py
@@ -9,17 +9,27 @@
 copies that arrive later.
 """
 
+import collections
+import statistics
+
+from returns import result
+
 from poplarstep.core import effect
 from poplarstep.core import stage
 from poplarstep.core import timer
 from poplarstep.core import verdict
 from poplarstep.flow import packet
+from poplarstep.limits import queue
+from poplarstep.limits import ramp
 from poplarstep.requests import message
 from poplarstep.requests import ownership
 from poplarstep.requests import state as states
 
 TICK = 'admission'
 TICK_PERIOD_MS = 20
+LATENCY_SAMPLES = 32
+# Requests that wait at one agent; each holds at most one datagram.
+QUEUE_CAPACITY = 2048
 
 ADMISSION = stage.Stage('admission')
 
@@ -36,26 +46,36 @@
         Limit of requests in flight.
     queue : AdmissionQueue
         Requests that wait.
+    in_flight, earlier : set of RequestKey
+        Requests that the target is running; those of them that were sent
+        to an earlier run of the target.
     """
 
     __slots__ = (
-        'agent', 'ramp', 'queue', 'in_flight', 'target_incarnation',
-        'make_ramp')
+        'agent', 'ramp', 'queue', 'in_flight', 'earlier',
+        'target_incarnation', 'recent_ms', 'latency_ms')
 
-    def __init__(self, agent, make_ramp, queue):
+    def __init__(self, agent, queue):
         self.agent = agent
-        self.make_ramp = make_ramp
-        self.ramp = make_ramp(1, 1)
+        self.ramp = ramp.make_ramp(cold_limit=1, ceiling=1)
         self.queue = queue
-        self.in_flight = {}
+        self.in_flight = set()
+        self.earlier = set()
         self.target_incarnation = None
+        self.recent_ms = collections.deque(maxlen=LATENCY_SAMPLES)
+        self.latency_ms = 0.0
+
+
+def make_admission_state(agent, capacity=QUEUE_CAPACITY):
+    r"""Return an empty queue and a cold ramp for an agent's target."""
+    return AdmissionState(agent, queue.make_queue(capacity))
 
 
 def load(state):
     r"""Return the load that is reported to balancers."""
     return packet.Load(
         state.ramp.limit(), len(state.in_flight), len(state.queue),
-        len(state.agent.flow_by_serial), state.ramp.latency_ms())
+        len(state.agent.flow_by_serial), state.latency_ms)
 
 
 @ADMISSION.handles(message.TargetState)
@@ -63,17 +83,20 @@
     r"""Take in an announcement; a new incarnation starts cold."""
     if event.incarnation != state.target_incarnation:
         state.target_incarnation = event.incarnation
-        state.ramp = state.make_ramp(event.cold_limit, event.slots)
+        # Requests in flight belong to the run that ended; their calls
+        # still report, but not to the new ramp.
+        state.ramp = ramp.make_ramp(event.cold_limit, event.slots)
+        state.earlier |= state.in_flight
     return [event]
 
 
 @ADMISSION.handles(message.Admit)
 def admit(state, event, now):
     r"""Queue a request or refuse it, then dispatch what fits."""
-    reason = state.queue.offer(event.key, event.deadline, now)
-    if reason:
+    offered = state.queue.offer(event.key, event.deadline, now)
+    if isinstance(offered, result.Failure):
         return _refuse(
-            state, event.key, verdict.Verdict.NOT_RUN, reason)
+            state, event.key, verdict.Verdict.NOT_RUN, offered.failure())
     return _dispatch(state, now)
 
 
@@ -92,9 +115,12 @@
 @ADMISSION.handles(message.TargetAnswered)
 def target_answered(state, event, now):
     r"""Record the answer and send it to the caller."""
-    if state.in_flight.pop(event.key, None) is None:
+    if event.key not in state.in_flight:
         return []
-    state.ramp.finished(now, event.elapsed_ms, True)
+    _finished(state, event, True, now)
+    state.queue.served(event.elapsed_ms, state.ramp.limit())
+    state.recent_ms.append(event.elapsed_ms)
+    state.latency_ms = statistics.median(state.recent_ms)
     known = states.request_record(state.agent, event.key)
     messages = []
     if known is not None:
@@ -107,10 +133,10 @@
 @ADMISSION.handles(message.TargetFailed)
 def target_failed(state, event, now):
     r"""Queue a request again that did not run; refuse one that may have."""
-    if state.in_flight.pop(event.key, None) is None:
+    if event.key not in state.in_flight:
         return []
     state.agent.counters.failed += 1
-    state.ramp.finished(now, event.elapsed_ms, False)
+    _finished(state, event, False, now)
     messages = []
     if event.ran:
         messages = _refuse(
@@ -141,24 +167,32 @@
     known = states.request_record(state.agent, event.key)
     if known is None:
         return []
-    reason = state.queue.offer(event.key, known.deadline, now)
-    if reason:
+    offered = state.queue.offer(event.key, known.deadline, now)
+    if isinstance(offered, result.Failure):
         return _refuse(
-            state, event.key, verdict.Verdict.NOT_RUN, reason)
+            state, event.key, verdict.Verdict.NOT_RUN, offered.failure())
     known.phase = states.Phase.QUEUED
     return []
 
 
+def _finished(state, event, succeeded, now):
+    r"""Free the slot; tell the ramp unless the target restarted since."""
+    state.in_flight.remove(event.key)
+    if event.key in state.earlier:
+        state.earlier.remove(event.key)
+        return
+    state.ramp.finished(now, event.elapsed_ms, succeeded)
+
+
 def _dispatch(state, now):
     r"""Send waiting requests to the target while the ramp allows it."""
     messages = []
-    while state.agent.target is not None and state.ramp.may_start(
-            len(state.in_flight), now):
-        key, expired = state.queue.take(now)
-        messages.extend(_expire(state, expired))
-        if key is None:
+    while state.agent.target is not None and state.ramp.may_start(now):
+        taken = state.queue.take(now)
+        messages.extend(_expire(state, taken.expired))
+        if taken.key is None:
             break
-        messages.extend(_call(state, key, now))
+        messages.extend(_call(state, taken.key, now))
     messages.extend(_expire(state, state.queue.expire(now)))
     return messages
 
@@ -168,7 +202,7 @@
     if known is None:
         return []
     known.phase = states.Phase.DISPATCHED
-    state.in_flight[key] = now
+    state.in_flight.add(key)
     state.ramp.started(now)
     state.agent.counters.dispatched += 1
     return [message.CallTarget(
--- /dev/null
+++ b/poplarstep/requests/announcing.py
@@ -0,0 +1,50 @@
+r"""Stage of an agent: what the target announced becomes an announcement.
+
+Explanation
+===========
+
+The target repeats its announcement as a heartbeat. Only a change of what
+balancers need raises the revision and is reported upstream. A target that
+stops announcing itself is left to the admission stage: calls to it fail and
+the ramp falls.
+"""
+
+from poplarstep.configuration import model
+from poplarstep.core import stage
+from poplarstep.dissemination import message as dissemination
+from poplarstep.requests import message
+
+ANNOUNCE = stage.Stage('announce')
+
+
+@ANNOUNCE.handles(message.TargetState)
+def target_state(state, event, now):
+    r"""Take in an announcement; report it upstream if it is news."""
+    known = state.target
+    state.target = event
+    if known is not None and _public(known) == _public(event):
+        return [event]
+    return [event, _announcement(state)]
+
+
+@ANNOUNCE.handles(message.Leave)
+def leave(state, event, now):
+    r"""Take no new work from now on and say so."""
+    state.leaving = True
+    if state.target is None:
+        return []
+    return [_announcement(state)]
+
+
+def _public(target):
+    return (
+        target.service, target.slots, target.connections, target.leaving)
+
+
+def _announcement(state):
+    state.revision += 1
+    target = state.target
+    return dissemination.Announced(model.Announcement(
+        state.node, target.service, state.data_centre, state.agent_address,
+        state.incarnation, state.revision, target.slots, target.connections,
+        target.leaving or state.leaving))
--- a/poplarstep/requests/state.py
+++ b/poplarstep/requests/state.py
@@ -141,3 +141,11 @@
 def idempotency_key(state, key):
     r"""Return the text that identifies a request to the target."""
     return '%x-%x-%d' % (state.incarnation, key.serial, key.number)
+
+
+def unfinished(state):
+    r"""Return the number of requests without an answer or refusal."""
+    return sum(
+        known.phase <= Phase.DISPATCHED
+        for flow in state.flow_by_serial.values()
+        for known in flow.record_by_number.values())
--- a/poplarstep/routing/opening.py
+++ b/poplarstep/routing/opening.py
@@ -85,7 +85,7 @@
     retry = (
         len(pending.tried) < MAXIMUM_ATTEMPTS
         and state.confirmed(now)
-        and state.retry_budget.retry_allowed(now))
+        and state.retry_budget.try_retry(now))
     if retry:
         state.counters.open_retried += 1
         return _attempt(
--- /dev/null
+++ b/standins/callers.py
@@ -0,0 +1,144 @@
+r"""Stand-in callers: open flows, send requests, check the answers.
+
+Explanation
+===========
+
+It drives the caller library over one UDP socket for many callers. Each
+answer is compared with the request that it must belong to.
+"""
+
+import random
+
+import gevent
+from gevent import event as gevent_event
+
+from poplarstep.caller import exchange
+from poplarstep.caller import message
+from poplarstep.core import address
+from poplarstep.core import effect
+from poplarstep.core import stage
+from poplarstep.core import timer
+from poplarstep.core import verdict
+from poplarstep.edge import clock
+from poplarstep.edge import codec
+from poplarstep.edge import datagrams
+from poplarstep.edge import task as tasks
+from poplarstep.flow import token
+
+
+class Tally:
+    r"""Counts of what became of flows and requests."""
+
+    __slots__ = (
+        'opened', 'completed', 'broken', 'refused', 'asked', 'answered',
+        'mismatched', 'not_run', 'may_have_run', 'latencies_ms')
+
+    def __init__(self):
+        for name in self.__slots__:
+            setattr(self, name, 0)
+        self.latencies_ms = []
+
+
+class Client:
+    r"""One caller process: its task, socket and waiting greenlets."""
+
+    __slots__ = ('task', 'state', 'socket', 'packets', 'waiting', 'random')
+
+    def __init__(self, seed, bound=None):
+        self.packets = codec.make_data_path_codec(token.OPAQUE)
+        self.state = exchange.make_caller_state()
+        self.waiting = {}
+        self.random = random.Random(seed)
+        self.socket = datagrams.open_datagram_socket(
+            bound or address.Address('127.0.0.1', 0),
+            lambda source, data: self.packets.decode(data)).unwrap()
+        timers = timer.TimerQueue()
+        timers.subscribe(
+            exchange.TICK, exchange.TICK_PERIOD_MS, clock.now_ms())
+        self.task = tasks.Task(
+            'callers', stage.Pipeline([(exchange.CALLER, self.state)]),
+            timers, {
+                effect.SendPacket: self._send,
+                message.FlowStarted: self._tell_flow,
+                message.FlowFailed: self._tell_flow,
+                message.Outcome: self._tell_outcome,
+            })
+
+    def start(self):
+        r"""Start the reader and the task."""
+        gevent.spawn(self.socket.read_loop, self.task.post)
+        tasks.start(self.task)
+
+    def open_flow(self, service, deadline_ms):
+        r"""Open a flow; return ``FlowStarted`` or ``FlowFailed``."""
+        flow_key = self.random.getrandbits(64)
+        return self._wait(flow_key, message.StartFlow(
+            flow_key, service, deadline_ms))
+
+    def ask(self, flow_key, payload, idempotent, deadline_ms):
+        r"""Send one request and return its ``Outcome``."""
+        return self._wait(flow_key, message.Ask(
+            flow_key, payload, idempotent, deadline_ms))
+
+    def close_flow(self, flow_key):
+        r"""Close a flow."""
+        self.task.post([message.EndFlow(flow_key)])
+
+    def _wait(self, flow_key, item):
+        waiting = gevent_event.AsyncResult()
+        self.waiting[flow_key] = waiting
+        self.task.post([item])
+        try:
+            return waiting.get()
+        finally:
+            del self.waiting[flow_key]
+
+    def _send(self, item):
+        self.socket.send(item.destination, self.packets.encode(item.packet))
+
+    def _tell_flow(self, item):
+        self.waiting[item.flow_key].set(item)
+
+    def _tell_outcome(self, item):
+        self.waiting[item.flow_key].set(item)
+
+
+def run_flow(client, tally, service, count, idempotent, deadline_ms,
+             pause_s=0.0):
+    r"""Open a flow, send its requests one after another, close it."""
+    opened = client.open_flow(service, deadline_ms)
+    if isinstance(opened, message.FlowFailed):
+        tally.refused += 1
+        return
+    tally.opened += 1
+    broken = False
+    for number in range(count):
+        payload = b'%x/%d' % (opened.flow_key, number)
+        asked_at = clock.now_ms()
+        tally.asked += 1
+        outcome = client.ask(
+            opened.flow_key, payload, idempotent, deadline_ms)
+        tally.latencies_ms.append(clock.now_ms() - asked_at)
+        broken |= not _count(tally, outcome, payload)
+        if pause_s:
+            gevent.sleep(pause_s)
+    client.close_flow(opened.flow_key)
+    if broken:
+        tally.broken += 1
+    else:
+        tally.completed += 1
+
+
+def _count(tally, outcome, payload):
+    r"""Count one outcome; return whether the request was answered."""
+    if outcome.verdict == verdict.Verdict.RAN:
+        if outcome.payload != b'answer to ' + payload:
+            tally.mismatched += 1
+            return False
+        tally.answered += 1
+        return True
+    if outcome.verdict == verdict.Verdict.NOT_RUN:
+        tally.not_run += 1
+    else:
+        tally.may_have_run += 1
+    return False
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,166 @@
+r"""The two deployments of the users, laid out on loopback addresses.
+
+Explanation
+===========
+
+Each process has an address of its own: ``127.N.K.I`` where ``N`` is the
+network number, ``K`` the kind of process and ``I`` its index.
+"""
+
+from poplarstep.core import address
+from poplarstep.core import record
+
+CONTROL_PORT = 7000
+FRONT_PORT = 7100
+BACK_PORT = 7200
+AGENT_PORT = 7300
+SERVICE_PORT = 5000
+HTTP_PORT = 8000
+TARGET_PORT = 9000
+CLUSTER_KEY = 'loopback-demonstration-key'
+
+CONTROL, BALANCER, AGENT, SERVICE = 1, 2, 3, 4
+
+
+class ServicePlan(record.Record):
+    r"""One service; ``service_ms`` is the time of one request."""
+
+    __slots__ = (
+        'name', 'endpoints', 'slots', 'connections', 'priority',
+        'service_ms')
+
+    def __init__(
+            self, name, endpoints, slots, connections, priority,
+            service_ms):
+        self.name = name
+        self.endpoints = endpoints
+        self.slots = slots
+        self.connections = connections
+        self.priority = priority
+        self.service_ms = service_ms
+
+
+class Plan(record.Record):
+    r"""A deployment: its data centres and services."""
+
+    __slots__ = ('name', 'data_centres', 'services')
+
+    def __init__(self, name, data_centres, services):
+        self.name = name
+        self.data_centres = data_centres
+        self.services = services
+
+
+PLAN_BY_NAME = {
+    'nile-hood': Plan(
+        'nile-hood', ('nasr-city', 'maadi', 'giza'), (
+            ServicePlan('dispatch', 7, 1, 2000, 0, 3.0),
+            ServicePlan('certs', 3, 1, 2000, 5, 3.0))),
+    'gulfline': Plan(
+        'gulfline', ('gs-a', 'gs-b', 'gs-c', 'gs-d'), (
+            ServicePlan('registry-api', 7, 2, 2000, 0, 3.0),
+            ServicePlan('map-files', 4, 2, 2000, 5, 3.0))),
+}
+
+
+class Layout:
+    r"""Addresses and command lines of every process of a deployment."""
+
+    __slots__ = ('plan', 'network', 'controls', 'balancers', 'folder')
+
+    def __init__(self, plan, network, controls, balancers, folder):
+        self.plan = plan
+        self.network = network
+        self.controls = controls
+        self.balancers = balancers
+        self.folder = folder
+
+    def place(self, kind, index, port):
+        r"""Return the address of a process."""
+        return address.Address(
+            '127.%d.%d.%d' % (self.network, kind, index + 1), port)
+
+    def places(self, kind, count, port):
+        r"""Return the addresses of all processes of a kind, as text."""
+        return ','.join(
+            str(self.place(kind, index, port)) for index in range(count))
+
+    def service_address(self, name):
+        r"""Return the address of a service."""
+        names = [item.name for item in self.plan.services]
+        return self.place(SERVICE, names.index(name), SERVICE_PORT)
+
+    def control_http(self):
+        r"""Return the control hosts' HTTP addresses as text."""
+        return self.places(CONTROL, self.controls, HTTP_PORT)
+
+    def control(self, index, start='bootstrap'):
+        r"""Return the flags of a control host."""
+        seeds = ','.join(
+            'control-%d=%s' % (item, self.place(CONTROL, item, CONTROL_PORT))
+            for item in range(self.controls))
+        return self._flags('control', 'control-%d' % index, index, CONTROL, {
+            'data-folder': '%s/control-%d' % (self.folder, index),
+            'control-hosts': seeds,
+            'start': start,
+        })
+
+    def balancer(self, index):
+        r"""Return the flags of a balancer."""
+        return self._flags(
+            'balancer', 'balancer-%d' % index, index, BALANCER, {
+                'cluster-key': CLUSTER_KEY,
+                'upstreams': self.places(
+                    CONTROL, self.controls, CONTROL_PORT),
+                'front-address': self.place(BALANCER, index, FRONT_PORT),
+                'back-address': self.place(BALANCER, index, BACK_PORT),
+            })
+
+    def agent(self, index, service):
+        r"""Return the flags of an agent."""
+        return self._flags(
+            'agent', '%s/%d' % (service.name, index), index, AGENT, {
+                'cluster-key': CLUSTER_KEY,
+                'upstreams': self.places(
+                    BALANCER, self.balancers, CONTROL_PORT),
+                'agent-address': self.place(AGENT, index, AGENT_PORT),
+            })
+
+    def target(self, index, service):
+        r"""Return the flags of a stand-in target."""
+        return [
+            '--service', service.name,
+            '--address', str(self.place(AGENT, index, TARGET_PORT)),
+            '--agent', str(self.place(AGENT, index, HTTP_PORT)),
+            '--service-ms', str(service.service_ms),
+            '--slots', str(service.slots),
+            '--connections', str(service.connections)]
+
+    def target_places(self):
+        r"""Return ``(index, service plan)`` of every target."""
+        places = []
+        for service in self.plan.services:
+            for _ in range(service.endpoints):
+                places.append((len(places), service))
+        return places
+
+    def _flags(self, role, node, index, kind, more):
+        centres = self.plan.data_centres
+        values = {
+            'role': role,
+            'node': node,
+            'data-centre': centres[index % len(centres)],
+            'control-address': self.place(kind, index, CONTROL_PORT),
+            'http-address': self.place(kind, index, HTTP_PORT),
+            **more,
+        }
+        flags = []
+        for name, value in values.items():
+            flags.extend(['--' + name, str(value)])
+        return flags
+
+
+def make_layout(name, folder, network=1, controls=3, balancers=3):
+    r"""Return the layout of a named deployment."""
+    return Layout(
+        PLAN_BY_NAME[name], network, controls, balancers, folder)
--- /dev/null
+++ b/standins/fabric.py
@@ -0,0 +1,80 @@
+r"""Stand-in for the platform's fabric: sprays packets over balancers.
+
+Explanation
+===========
+
+It listens on each service address, adds a PROXY header to every datagram
+and sends it to a random balancer. It knows nothing of flows. Answers come
+back to the socket of the service address and go to the caller.
+"""
+
+import random
+import signal
+
+import click
+import gevent
+from returns import result
+
+from poplarstep.core import address
+from poplarstep.edge import datagrams
+from poplarstep.edge import proxy_header
+
+
+class Fabric:
+    r"""Sockets of the service addresses and the list of balancers."""
+
+    __slots__ = ('balancers', 'random', 'count_by_balancer', 'sockets')
+
+    def __init__(self, balancers, generator):
+        self.balancers = list(balancers)
+        self.random = generator
+        self.count_by_balancer = {item: 0 for item in balancers}
+        self.sockets = []
+
+    def serve(self, service):
+        r"""Open a service address and start its reader."""
+        opened = datagrams.open_datagram_socket(
+            service, lambda source, data: result.Success((source, data)))
+        socket = opened.unwrap()
+        self.sockets.append(socket)
+        gevent.spawn(socket.read_loop, lambda batch: self._pass_on(
+            service, socket, batch))
+
+    def _pass_on(self, service, socket, batch):
+        for source, data in batch:
+            framed = proxy_header.decode(data)
+            if isinstance(framed, result.Success):
+                _, caller, body = framed.unwrap()
+                socket.send(caller, body)
+                continue
+            balancer = self.random.choice(self.balancers)
+            self.count_by_balancer[balancer] += 1
+            socket.send(balancer, proxy_header.encode(
+                address.Address(*source), service, data))
+
+
+def make_fabric(balancers, seed):
+    r"""Return a fabric that sprays by a seeded generator."""
+    return Fabric(balancers, random.Random(seed))
+
+
+def _addresses(context, parameter, text):
+    return [address.parse(item).unwrap() for item in text.split(',')]
+
+
+@click.command()
+@click.option('--services', required=True, callback=_addresses)
+@click.option('--balancers', required=True, callback=_addresses)
+@click.option('--seed', default=1)
+def main(services, balancers, seed):
+    r"""Run a fabric in front of balancers."""
+    fabric = make_fabric(balancers, seed)
+    for service in services:
+        fabric.serve(service)
+    stop = gevent.event.Event()
+    gevent.signal_handler(signal.SIGTERM, stop.set)
+    stop.wait()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,164 @@
+r"""Stand-in for a target: HTTP server with slots, cold start and load.
+
+Explanation
+===========
+
+It announces itself to its agent, runs as many requests at a time as it has
+slots, is slow at first and fails when it gets more than it bears in cold
+start. It records every run of a request, so that a request that ran twice
+is found.
+"""
+
+import json
+import os
+import signal
+import socket
+import time
+
+import click
+import gevent
+from gevent import event as gevent_event
+from gevent import lock
+from gevent import pywsgi
+from geventhttpclient import client as http_client
+
+from poplarstep.core import address
+
+ANNOUNCE_PERIOD_S = 0.5
+NOT_RUN_HEADER = ('Request-Not-Run', 'true')
+
+
+class Target:
+    r"""State of one stand-in target; times in ms."""
+
+    __slots__ = (
+        'service', 'service_ms', 'slots', 'connections', 'cold_ms',
+        'cold_limit', 'started_at', 'in_flight', 'slot_lock', 'failures',
+        'runs_by_key', 'incarnation', 'leaving', 'most_in_flight_cold')
+
+    def __init__(
+            self, service, service_ms, slots, connections, cold_ms,
+            cold_limit):
+        self.service = service
+        self.service_ms = service_ms
+        self.slots = slots
+        self.connections = connections
+        self.cold_ms = cold_ms
+        self.cold_limit = cold_limit
+        self.started_at = time.monotonic()
+        self.in_flight = 0
+        self.slot_lock = lock.BoundedSemaphore(slots)
+        self.failures = 0
+        self.runs_by_key = {}
+        self.incarnation = time.time_ns()
+        self.leaving = False
+        self.most_in_flight_cold = 0
+
+    def is_cold(self):
+        r"""Return whether the target is still warming up."""
+        return (time.monotonic() - self.started_at) * 1000 < self.cold_ms
+
+    def run(self, key, payload):
+        r"""Run a request; return ``(status, headers, body)``."""
+        cold = self.is_cold()
+        if cold and self.in_flight >= self.cold_limit:
+            self.failures += 1
+            return '500 Internal Server Error', [], b'overloaded'
+        self.in_flight += 1
+        if cold:
+            self.most_in_flight_cold = max(
+                self.most_in_flight_cold, self.in_flight)
+        try:
+            with self.slot_lock:
+                self.runs_by_key[key] = self.runs_by_key.get(key, 0) + 1
+                gevent.sleep(self.service_ms / 1000)
+            return '200 OK', [], b'answer to ' + payload
+        finally:
+            self.in_flight -= 1
+
+    def load(self):
+        r"""Return the load report."""
+        return {
+            'in_flight': self.in_flight, 'slots': self.slots,
+            'failures': self.failures, 'cold': self.is_cold(),
+            'most_in_flight_cold': self.most_in_flight_cold,
+            'runs': len(self.runs_by_key),
+            'repeated': sum(
+                count > 1 for count in self.runs_by_key.values()),
+        }
+
+
+def make_application(target):
+    r"""Return the WSGI application of a target."""
+    def application(environ, start_response):
+        method = environ['REQUEST_METHOD']
+        status, headers, body = '404 Not Found', [], b''
+        if method == 'POST' and environ['PATH_INFO'] == '/request':
+            payload = environ['wsgi.input'].read()
+            status, headers, body = target.run(
+                environ.get('HTTP_IDEMPOTENCY_KEY', ''), payload)
+        elif environ['PATH_INFO'] in ('/load', '/health'):
+            status, body = '200 OK', json.dumps(target.load()).encode()
+        elif method == 'DELETE':
+            status = '200 OK'
+        start_response(status, headers + [
+            ('Content-Length', str(len(body)))])
+        return [body]
+    return application
+
+
+def announce_forever(target, place, agent):
+    r"""Announce the target to its agent twice a second."""
+    while True:
+        body = json.dumps({
+            'service': target.service,
+            'address': place,
+            'incarnation': target.incarnation,
+            'slots': target.slots,
+            'connections': target.connections,
+            'cold_limit': target.cold_limit,
+            'leaving': target.leaving,
+        })
+        client = http_client.HTTPClient(agent.ip, agent.port)
+        try:
+            client.post('/announce', body=body).read()
+        except (OSError, ValueError):
+            # The agent may start later than its target.
+            pass
+        finally:
+            client.close()
+        gevent.sleep(ANNOUNCE_PERIOD_S)
+
+
+@click.command()
+@click.option('--service', required=True)
+@click.option('--address', 'place', required=True, help='IP:PORT')
+@click.option('--agent', required=True, help='HTTP address of the agent')
+@click.option('--service-ms', default=3.0)
+@click.option('--slots', default=1)
+@click.option('--connections', default=2000)
+@click.option('--cold-ms', default=0.0)
+@click.option('--cold-limit', default=1)
+def main(service, place, agent, service_ms, slots, connections, cold_ms,
+         cold_limit):
+    r"""Run a stand-in target."""
+    bound = address.parse(place).unwrap()
+    target = Target(
+        service, service_ms, slots, connections, cold_ms, cold_limit)
+    server = pywsgi.WSGIServer(
+        (bound.ip, bound.port), make_application(target), log=None)
+    server.start()
+    # Accepted sockets inherit the option; without it Nagle's algorithm and
+    # delayed acknowledgements add 40 ms to every answer.
+    server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    gevent.spawn(announce_forever, target, place,
+                 address.parse(agent).unwrap())
+    stop = gevent_event.Event()
+    gevent.signal_handler(signal.SIGTERM, stop.set)
+    stop.wait()
+    server.stop(timeout=1)
+    os._exit(0)
+
+
+if __name__ == '__main__':
+    main()
