--- /dev/null
+++ b/poplarstep/consensus/follower.py
@@ -0,0 +1,74 @@
+r"""Appends and commits of a host that follows a leader."""
+
+from poplarstep.consensus import handlers
+from poplarstep.consensus import message
+from poplarstep.consensus import peer
+from poplarstep.consensus import roles
+from poplarstep.consensus import state as states
+
+
+@handlers.PEERS.handles(peer.AppendEntries)
+def answer_append(state, received, now):
+    r"""Follow the leader and append what is missing."""
+    request = received.message
+    if not state.group:
+        # Index 0 asks for a snapshot, which brings group and membership.
+        return _reply(state, received, False, 0, 0, 0)
+    if request.term < state.term:
+        return _reply(state, received, False, 0, 0, 1)
+    effects = roles.become_follower(state, request.term, request.sender, now)
+    states.hear_leader(state, now)
+    conflict = find_conflict(state.log, request)
+    if conflict is not None:
+        return effects + _reply(state, received, False, 0, *conflict)
+    effects.extend(store_entries(state, request))
+    last = request.previous_index + len(request.entries)
+    effects.extend(_reply(state, received, True, last, 0, 0))
+    state.commit_index = max(
+        state.commit_index, min(request.commit_index, last))
+    return effects + roles.apply_committed(state, now)
+
+
+def find_conflict(held, request):
+    r"""Return ``(conflict_term, conflict_index)``, or None if it fits."""
+    previous = request.previous_index
+    if previous < held.base_index:
+        # Everything up to the base is committed and equal.
+        return None
+    if previous > held.last_index:
+        return 0, held.last_index + 1
+    term = held.term_at(previous)
+    if term == request.previous_term:
+        return None
+    return term, held.first_index_of_term_at(previous)
+
+
+def store_entries(state, request):
+    r"""Append entries; remove own ones from the first difference on."""
+    held = state.log
+    new = list(request.entries)
+    while new and (
+            new[0].index <= held.base_index
+            or held.term_at(new[0].index) == new[0].term):
+        del new[0]
+    if not new:
+        return []
+    effects = []
+    if new[0].index <= held.last_index:
+        if new[0].index <= state.commit_index:
+            raise RuntimeError(
+                'leader %s of term %d replaces committed entry %d'
+                % (request.sender.name, request.term, new[0].index))
+        held.truncate(new[0].index)
+        effects.append(message.TruncateLog(new[0].index))
+    held.append(new)
+    return effects + [message.AppendLog(tuple(new))]
+
+
+def _reply(
+        state, received, success, match_index, conflict_term,
+        conflict_index):
+    request = received.message
+    return states.send(received.source, peer.AppendReply(
+        state.identity, request.group, state.term, success, match_index,
+        conflict_term, conflict_index, request.sent_at))
--- /dev/null
+++ b/poplarstep/consensus/log.py
@@ -0,0 +1,167 @@
+r"""Log of one replica in memory: a snapshot and the entries after it.
+
+Explanation
+===========
+
+Some entries that the snapshot covers are kept, so that a follower that is
+slightly behind needs no snapshot. ``mark`` and ``roll_back`` undo the
+changes of one batch of effects when storage failed.
+"""
+
+from poplarstep.consensus import message
+
+# Covers a follower that was away for about a minute at 16 commands a second.
+KEPT_ENTRIES = 1024
+MAXIMUM_BATCH_ENTRIES = 256
+MAXIMUM_BATCH_BYTES = 1024 * 1024
+
+
+class Log:
+    r"""Snapshot, entries and memberships.
+
+    Parameters
+    ==========
+
+    snapshot : Snapshot or None
+        None for a host that belongs to no group yet.
+    entries : iterable of LogEntry
+        Consecutive entries; those that the snapshot covers are dropped.
+    """
+
+    __slots__ = (
+        'snapshot', 'base_index', 'base_term', 'entries', 'memberships',
+        'kept_entries', 'floor', 'saved')
+
+    def __init__(self, snapshot, entries=(), kept_entries=KEPT_ENTRIES):
+        self.snapshot = snapshot
+        self.base_index = snapshot.index if snapshot else 0
+        self.base_term = snapshot.term if snapshot else 0
+        self.entries = []
+        self.memberships = (
+            ((snapshot.index, snapshot.members),) if snapshot else ())
+        self.kept_entries = kept_entries
+        self.append(
+            entry for entry in entries if entry.index > self.base_index)
+        self.mark()
+
+    @property
+    def last_index(self):
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self):
+        return self.entries[-1].term if self.entries else self.base_term
+
+    @property
+    def members(self):
+        r"""Latest membership in the log, committed or not."""
+        return self.memberships[-1][1] if self.memberships else ()
+
+    @property
+    def members_index(self):
+        return self.memberships[-1][0] if self.memberships else 0
+
+    def members_at(self, index):
+        r"""Return the membership in force after the entry ``index``."""
+        for position, members in reversed(self.memberships):
+            if position <= index:
+                return members
+        return ()
+
+    def term_at(self, index):
+        r"""Return the term of an entry, or None if it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entries[index - self.base_index - 1].term
+        if self.snapshot and index == self.snapshot.index:
+            return self.snapshot.term
+        return None
+
+    def first_index_of_term_at(self, index):
+        r"""Return the first held index with the term of the entry given."""
+        term = self.term_at(index)
+        while index - 1 > self.base_index and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def last_index_of_term(self, term, limit):
+        r"""Return the last index up to ``limit`` with a term, or None."""
+        index = min(limit, self.last_index)
+        while index > self.base_index and self.term_at(index) > term:
+            index -= 1
+        if index > self.base_index and self.term_at(index) == term:
+            return index
+        return None
+
+    def between(self, first, last):
+        r"""Return the entries from ``first`` to ``last``, inclusive."""
+        return self.entries[
+            max(first - self.base_index - 1, 0):last - self.base_index]
+
+    def batch(self, first):
+        r"""Return entries from ``first``, bounded in number and bytes."""
+        start = first - self.base_index - 1
+        chosen = []
+        size = 0
+        for entry in self.entries[start:start + MAXIMUM_BATCH_ENTRIES]:
+            size += len(entry.payload)
+            if chosen and size > MAXIMUM_BATCH_BYTES:
+                break
+            chosen.append(entry)
+        return tuple(chosen)
+
+    def append(self, entries):
+        for entry in entries:
+            self.entries.append(entry)
+            if entry.kind == message.MEMBERSHIP:
+                self.memberships += ((entry.index, entry.members),)
+
+    def truncate(self, index):
+        r"""Remove the entries from ``index`` on."""
+        del self.entries[max(index - self.base_index - 1, 0):]
+        self.floor = min(self.floor, index - 1)
+        self._forget_memberships_after(index - 1)
+
+    def compact(self, snapshot):
+        r"""Adopt a snapshot of the own state machine."""
+        base = max(self.base_index, snapshot.index - self.kept_entries)
+        self.base_term = self.term_at(base)
+        self.entries = self.entries[base - self.base_index:]
+        self.base_index = base
+        self._adopt(snapshot)
+
+    def install(self, snapshot):
+        r"""Adopt a leader's snapshot; keep the entries that follow it."""
+        keep = self.term_at(snapshot.index) == snapshot.term
+        self.entries = (
+            self.entries[snapshot.index - self.base_index:] if keep else [])
+        if not keep:
+            self.memberships = ()
+            self.floor = min(self.floor, snapshot.index)
+        self.base_index = snapshot.index
+        self.base_term = snapshot.term
+        self._adopt(snapshot)
+
+    def mark(self):
+        r"""Remember the present log as the one on disk."""
+        self.floor = self.last_index
+        self.saved = (
+            self.snapshot, self.base_index, self.base_term, self.entries,
+            self.memberships)
+
+    def roll_back(self):
+        r"""Return to what is certainly on disk after a failed batch."""
+        (self.snapshot, self.base_index, self.base_term, self.entries,
+         self.memberships) = self.saved
+        del self.entries[max(self.floor - self.base_index, 0):]
+        self._forget_memberships_after(self.floor)
+
+    def _adopt(self, snapshot):
+        self.snapshot = snapshot
+        self.memberships = ((snapshot.index, snapshot.members),) + tuple(
+            item for item in self.memberships if item[0] > snapshot.index)
+
+    def _forget_memberships_after(self, index):
+        self.memberships = tuple(
+            item for item in self.memberships if item[0] <= index)
--- /dev/null
+++ b/poplarstep/consensus/membership.py
@@ -0,0 +1,113 @@
+r"""Changes of the membership, one at a time.
+
+Explanation
+===========
+
+A host is added as a learner. The leader makes it a voter when it holds the
+log up to the leader's commit index. Adding a host under a name that belongs
+to another disk identity replaces the lost host: the former identity is
+removed by the same change. Each change alters one voter at most, and the
+next one starts only after it is committed, so that two majorities always
+share a voter.
+"""
+
+from returns import result
+
+from poplarstep.consensus import handlers
+from poplarstep.consensus import message
+from poplarstep.consensus import replication
+from poplarstep.consensus import state as states
+from poplarstep.core import registry
+
+MAXIMUM_MEMBERS = 7
+# An applicant says hello every 500 ms while it has no leader.
+APPLICANT_MS = 5000
+
+# Functions ``(state, name, now)`` that return ``Result[members, reason]``.
+ACTIONS = registry.Registry('membership action')
+
+
+@handlers.handles(message.ChangeMembership)
+def change(state, request, now):
+    r"""Append the changed membership, or refuse the change."""
+    reason = refusal(state)
+    if reason:
+        return _refuse(state, request, reason)
+    action = ACTIONS.find(request.action)
+    outcome = action.bind(
+        lambda found: found(state, request.name, now))
+    if isinstance(outcome, result.Failure):
+        return _refuse(state, request, outcome.failure())
+    return replication.append(state, now, [
+        (message.MEMBERSHIP, b'', outcome.unwrap(), request.key)])
+
+
+def _refuse(state, request, reason):
+    return [message.ProposalRefused(
+        request.key, reason, states.leader_name(state))]
+
+
+def refusal(state):
+    r"""Return the reason why no change may start now, or an empty text."""
+    if not state.storage_ready:
+        return 'storage-failed'
+    if state.role != states.LEADER:
+        return 'not-leader'
+    if not states.has_committed_in_term(state):
+        return 'not-ready'
+    if state.log.members_index > state.commit_index:
+        return 'change-in-progress'
+    return ''
+
+
+@ACTIONS.register('add')
+def add(state, name, now):
+    r"""Return the membership with a learner, which may replace a host."""
+    applicant = state.applicant_by_name.get(name)
+    if applicant is None or now - applicant.heard_at > APPLICANT_MS:
+        return result.Failure('not-heard')
+    if any(member.identity == applicant.identity
+           for member in state.log.members):
+        return result.Failure('already-member')
+    kept = _without(state, name)
+    if not any(member.voter for member in kept):
+        return result.Failure('last-voter')
+    if len(kept) >= MAXIMUM_MEMBERS:
+        return result.Failure('too-many-members')
+    return result.Success(kept + (message.Member(
+        applicant.identity, applicant.address,
+        not state.mechanisms.learner_catch_up),))
+
+
+@ACTIONS.register('remove')
+def remove(state, name, now):
+    r"""Return the membership without a host."""
+    kept = _without(state, name)
+    if len(kept) == len(state.log.members):
+        return result.Failure('not-member')
+    if not any(member.voter for member in kept):
+        return result.Failure('last-voter')
+    return result.Success(kept)
+
+
+def _without(state, name):
+    return tuple(
+        member for member in state.log.members
+        if member.identity.name != name)
+
+
+def promote(state, now):
+    r"""Make one learner a voter if it holds all that is committed."""
+    if refusal(state):
+        return []
+    for member in state.log.members:
+        progress = state.progress_by_identity.get(member.identity)
+        if member.voter or progress is None or (
+                progress.match_index < state.commit_index):
+            continue
+        members = tuple(
+            item.replace(voter=True) if item is member else item
+            for item in state.log.members)
+        return replication.append(state, now, [
+            (message.MEMBERSHIP, b'', members, 0)])
+    return []
--- /dev/null
+++ b/poplarstep/consensus/model/checks.py
@@ -0,0 +1,283 @@
+r"""Properties that hold at every moment of every schedule.
+
+Explanation
+===========
+
+A check is registered for the moment at which it can fail: after an effect
+of a type, after a delivery, or after every event. It returns a text when
+the property is violated.
+"""
+
+from poplarstep.consensus import message
+from poplarstep.consensus.model import disk
+from poplarstep.consensus import peer
+from poplarstep.consensus import state as states
+from poplarstep.core import effect
+
+# Lists of (name, function).
+EFFECT_CHECKS_BY_TYPE = {}
+EVENT_CHECKS = []
+DELIVERY_CHECKS = []
+
+
+class ViolationError(Exception):
+    r"""A checked property does not hold."""
+
+    def __init__(self, check, text, now):
+        super().__init__('%s at %d ms: %s' % (check, now, text))
+        self.check = check
+
+
+class Journal:
+    r"""What the checks remember about the whole schedule."""
+
+    __slots__ = (
+        'skipped', 'leader_by_term', 'entry_by_position',
+        'command_by_index', 'digest_by_index', 'acknowledged',
+        'outcome_by_key', 'disk_by_identity', 'promotions', 'lease_changes',
+        'last_holder')
+
+    def __init__(self, skipped=()):
+        self.skipped = frozenset(skipped)
+        self.leader_by_term = {}
+        self.entry_by_position = {}
+        self.command_by_index = {}
+        self.digest_by_index = {0: 0}
+        self.acknowledged = 0
+        self.outcome_by_key = {}
+        self.disk_by_identity = {}
+        self.promotions = 0
+        self.lease_changes = 0
+        self.last_holder = None
+
+
+def on_effect(name, *effect_types):
+    r"""Register a check ``(cluster, host, effect)`` after effects."""
+    def decorate(check):
+        for effect_type in effect_types:
+            EFFECT_CHECKS_BY_TYPE.setdefault(effect_type, []).append(
+                (name, check))
+        return check
+    return decorate
+
+
+def on_event(name):
+    r"""Register a check ``(cluster)`` after every event."""
+    def decorate(check):
+        EVENT_CHECKS.append((name, check))
+        return check
+    return decorate
+
+
+def on_delivery(name):
+    r"""Register a check ``(cluster, host, delivery, before)``."""
+    def decorate(check):
+        DELIVERY_CHECKS.append((name, check))
+        return check
+    return decorate
+
+
+def _run(cluster, registered, *arguments):
+    for name, check in registered:
+        if name in cluster.journal.skipped:
+            continue
+        text = check(cluster, *arguments)
+        if text:
+            raise ViolationError(name, text, cluster.now)
+
+
+def after_effect(cluster, host, item):
+    _run(cluster, EFFECT_CHECKS_BY_TYPE.get(type(item), ()), host, item)
+
+
+def after_event(cluster):
+    _run(cluster, EVENT_CHECKS)
+
+
+def after_delivery(cluster, host, delivery, before):
+    _run(cluster, DELIVERY_CHECKS, host, delivery, before)
+
+
+def counted(host, received):
+    r"""Return what a host counts in favour of the sender of a message."""
+    if host.state is None or type(received) not in (
+            peer.VoteReply, peer.AppendReply):
+        return None
+    progress = host.state.progress_by_identity.get(received.sender)
+    return (
+        host.state.term, received.sender in host.state.votes,
+        progress.match_index if progress else 0)
+
+
+@on_delivery('wiped-host-counted')
+def check_counted(cluster, host, delivery, before):
+    after = counted(host, delivery.message)
+    if after is None or before is None or after[0] != before[0] or (
+            after[1:] <= before[1:]):
+        return ''
+    sender = delivery.message.sender
+    known = cluster.journal.disk_by_identity.get(sender, delivery.disk)
+    if known == delivery.disk:
+        return ''
+    return '%s counts %s with %s instead of %s' % (
+        host.name, sender.name, delivery.disk, known)
+
+
+@on_effect('one-leader-per-term', message.LeadershipChanged)
+def check_leader(cluster, host, item):
+    if not item.is_self:
+        return ''
+    known = cluster.journal.leader_by_term.setdefault(item.term, host.name)
+    if known != host.name:
+        return '%s and %s lead term %d' % (known, host.name, item.term)
+    return ''
+
+
+@on_effect('log-matching', message.AppendLog)
+def check_log(cluster, host, item):
+    known = cluster.journal.entry_by_position
+    previous = disk.prefix_term(host.disk, item.entries[0].index - 1)
+    for entry in item.entries:
+        value = (previous, entry.kind, entry.payload, entry.members)
+        previous = entry.term
+        position = (entry.index, entry.term)
+        held = known.setdefault(position, value)
+        if held[1:] != value[1:] or (
+                None not in (held[0], value[0]) and held[0] != value[0]):
+            return 'entry %d of term %d differs on %s' % (
+                position + (host.name,))
+    return ''
+
+
+@on_effect('applied-prefix', message.Committed)
+def check_command(cluster, host, item):
+    journal = cluster.journal
+    known = journal.command_by_index.setdefault(item.index, item.payload)
+    if known != item.payload:
+        return '%s applies %r at %d, another host %r' % (
+            host.name, item.payload, item.index, known)
+    key = int(item.payload.rpartition(b'-')[2])
+    if journal.outcome_by_key[key] == 'refused':
+        return 'refused command %d is applied' % key
+    digest = journal.digest_by_index.setdefault(item.index, host.digest)
+    if item.index == host.applied_index and digest != host.digest:
+        return '%s applied another sequence up to %d' % (
+            host.name, item.index)
+    return ''
+
+
+@on_effect('applied-prefix', message.SnapshotRestored)
+def check_restored(cluster, host, item):
+    known = cluster.journal.digest_by_index.get(item.index)
+    if known != host.digest:
+        return '%s restores a different state at %d' % (
+            host.name, item.index)
+    return ''
+
+
+@on_effect('acknowledged-on-quorum', message.Committed)
+def check_quorum(cluster, host, item):
+    if not item.key:
+        return ''
+    cluster.journal.acknowledged = max(
+        cluster.journal.acknowledged, item.index)
+    cluster.journal.outcome_by_key[item.key] = 'committed'
+    if not cluster.mechanisms.disk_identity:
+        return ''
+    disk_by_identity = {
+        host.disk.identity: host.disk for host in cluster.hosts}
+    voters = host.state.voters
+    # A disk that was wiped after it acknowledged the entry counts.
+    holding = [
+        identity for identity in voters
+        if identity.disk not in disk_by_identity
+        or disk_by_identity[identity.disk].holds(item.index, item.term)]
+    if 2 * len(holding) > len(voters):
+        return ''
+    return 'entry %d is on %d of %d voters' % (
+        item.index, len(holding), len(voters))
+
+
+@on_effect('reply-is-durable', effect.SendControl)
+def check_reply(cluster, host, item):
+    reply = item.message
+    if type(reply) is peer.VoteReply:
+        if reply.granted and not reply.pre_vote and (
+                host.disk.term != reply.term or not host.disk.voted_for):
+            return '%s sends a vote that is not synced' % host.name
+    if type(reply) is peer.AppendReply and reply.success and (
+            reply.match_index > host.disk.last_index):
+        return '%s acknowledges entry %d, its disk ends at %d' % (
+            host.name, reply.match_index, host.disk.last_index)
+    return ''
+
+
+@on_effect('admission', message.SaveSnapshot, message.AppendLog)
+def note_members(cluster, host, item):
+    r"""Remember the true disk of each identity when it is admitted."""
+    known = cluster.journal.disk_by_identity
+    for member in host.state.log.members:
+        if member.identity not in known:
+            known[member.identity] = (
+                cluster.host_by_name[member.identity.name].disk.identity)
+    return ''
+
+
+@on_effect('promotion-is-complete', message.AppendLog)
+def check_promotion(cluster, host, item):
+    state = host.state
+    if state.role != states.LEADER or len(state.log.memberships) < 2 or (
+            item.entries[-1].kind != message.MEMBERSHIP):
+        return ''
+    former = {
+        member.identity for member in state.log.memberships[-2][1]
+        if member.voter}
+    for identity in state.voters:
+        if identity in former:
+            continue
+        cluster.journal.promotions += 1
+        held = cluster.host_by_name[identity.name].disk
+        if held.identity == identity.disk and (
+                held.last_index < state.commit_index):
+            return '%s becomes a voter with %d of %d entries' % (
+                identity.name, held.last_index, state.commit_index)
+    return ''
+
+
+@on_event('one-lease')
+def check_lease(cluster):
+    holders = [
+        host for host in cluster.live
+        if states.read_allowed(host.state, host.clock(cluster.now))]
+    if len(holders) > 1:
+        return 'leases of %s' % ' and '.join(
+            '%s (term %d)' % (host.name, host.state.term)
+            for host in holders)
+    for host in holders:
+        if host.state.commit_index < cluster.journal.acknowledged:
+            return '%s may answer reads but lacks entry %d' % (
+                host.name, cluster.journal.acknowledged)
+        if host.name != cluster.journal.last_holder:
+            cluster.journal.last_holder = host.name
+            cluster.journal.lease_changes += 1
+    return ''
+
+
+@on_event('acknowledged-entry-kept')
+def check_kept(cluster):
+    r"""A leader that has committed in its term holds what was accepted.
+
+    Only the leader of the highest term is asked: an older one may not know
+    yet that it was replaced.
+    """
+    leaders = [
+        host.state for host in cluster.live
+        if states.has_committed_in_term(host.state)]
+    if not leaders:
+        return ''
+    newest = max(leaders, key=lambda state: state.term)
+    if newest.term < max(cluster.journal.leader_by_term, default=0) or (
+            newest.log.last_index >= cluster.journal.acknowledged):
+        return ''
+    return '%s leads term %d without entry %d' % (
+        newest.identity.name, newest.term, cluster.journal.acknowledged)
--- /dev/null
+++ b/poplarstep/consensus/model/cluster.py
@@ -0,0 +1,310 @@
+r"""Control hosts in memory under one true time.
+
+Explanation
+===========
+
+Each host has a clock with its own offset and rate, a simulated disk and a
+simple state machine: the number and a running hash of the commands. Every
+effect is a point at which the host may crash; a storage effect has two, the
+write and the sync.
+"""
+
+import heapq
+import json
+import random
+
+import xxhash
+
+from poplarstep.consensus import message
+from poplarstep.consensus.model import checks
+from poplarstep.consensus.model import disk
+from poplarstep.consensus.model import network
+from poplarstep.consensus import replica
+from poplarstep.consensus import state as states
+from poplarstep.core import address
+from poplarstep.core import effect
+from poplarstep.core import registry
+
+SNAPSHOT_COMMANDS = 25
+KEPT_ENTRIES = 8
+# Two clocks differ by 6% at most, inside what the lease allows.
+CLOCK_DRIFT = 0.03
+
+# Functions ``(cluster, host, effect)`` by class name of the effect.
+EFFECTS = registry.Registry('effect')
+
+
+class Host:
+    r"""One control host; ``state`` is None while it is down."""
+
+    __slots__ = (
+        'name', 'address', 'disk', 'state', 'offset', 'rate', 'epoch',
+        'paused', 'waiting', 'applied_index', 'digest', 'snapshot_index',
+        'crash_in', 'bootstrap')
+
+    def __init__(self, name, inbox, generator):
+        self.name = name
+        self.address = inbox
+        self.disk = None
+        self.state = None
+        self.offset = generator.randint(0, 1000000)
+        self.rate = 1 + generator.uniform(-CLOCK_DRIFT, CLOCK_DRIFT)
+        self.epoch = 0
+        self.paused = False
+        self.waiting = []
+        self.applied_index = 0
+        self.digest = 0
+        self.snapshot_index = 0
+        self.crash_in = None
+        self.bootstrap = True
+
+    def clock(self, true_time):
+        return self.offset + int(true_time * self.rate)
+
+
+class Cluster:
+    r"""Hosts, network, and what the checks remember.
+
+    Parameters
+    ==========
+
+    size : int
+        Number of hosts that found the group.
+    seed : int
+        Seed of everything random.
+    mechanisms : Mechanisms or None
+        Safety mechanisms; all are on by default.
+    """
+
+    __slots__ = (
+        'random', 'network', 'mechanisms', 'host_by_name', 'now', 'events',
+        'sequence', 'disk_count', 'journal', 'next_key', 'second_loss',
+        'log_changes')
+
+    def __init__(self, size, seed, mechanisms=None, skipped=()):
+        self.random = random.Random(seed)
+        self.network = network.Network(self.random)
+        self.mechanisms = mechanisms or states.Mechanisms()
+        self.now = 0
+        self.events = []
+        self.sequence = 0
+        self.disk_count = 0
+        self.journal = checks.Journal(skipped)
+        self.next_key = 1
+        self.second_loss = False
+        self.log_changes = []
+        self.host_by_name = {}
+        for number in range(size):
+            self.add_host('control-%d' % number)
+        for host in self.hosts:
+            self.start(host)
+
+    @property
+    def hosts(self):
+        return list(self.host_by_name.values())
+
+    @property
+    def live(self):
+        return [host for host in self.hosts if host.state is not None]
+
+    def add_host(self, name, bootstrap=True):
+        r"""Add a host with an empty disk; it is not started."""
+        host = Host(
+            name, address.Address(
+                '127.0.0.1', 4000 + len(self.host_by_name)), self.random)
+        host.bootstrap = bootstrap
+        host.disk = self.make_disk()
+        self.host_by_name[name] = host
+        return host
+
+    def make_disk(self):
+        self.disk_count += 1
+        return disk.Disk('disk-%d' % self.disk_count)
+
+    def start(self, host):
+        r"""Start a host from what its disk holds."""
+        held = host.disk
+        host.epoch += 1
+        host.applied_index = host.digest = host.snapshot_index = 0
+        host.crash_in = None
+        host.state = replica.make_replica(
+            message.HostIdentity(host.name, held.identity), host.address,
+            tuple(states.Seed(item.name, item.address)
+                  for item in self.hosts),
+            host.bootstrap, random.Random(self.random.getrandbits(64)),
+            host.clock(self.now), held.term, held.voted_for, held.snapshot,
+            tuple(held.entries), self.mechanisms, KEPT_ENTRIES)
+        self.carry_out(host, replica.start(host.state))
+        self.at(self.random.randint(1, 50), self.tick, host, host.epoch)
+
+    def crash(self, host):
+        r"""Stop a host at once; what is not synced is lost."""
+        host.disk.crash()
+        host.state = None
+        host.epoch += 1
+        host.paused = False
+        host.waiting = []
+
+    def wipe(self, host):
+        r"""Stop a host and replace its disk by an empty one."""
+        self.crash(host)
+        host.disk = self.make_disk()
+
+    def resume(self, host):
+        r"""Let a paused host continue with what arrived meanwhile."""
+        host.paused = False
+        waiting, host.waiting = host.waiting, []
+        for function, arguments in waiting:
+            function(*arguments)
+
+    def at(self, delay, function, *arguments):
+        r"""Call a function after ``delay`` ms of true time."""
+        self.sequence += 1
+        heapq.heappush(self.events, (
+            self.now + delay, self.sequence, function, arguments))
+
+    def run(self, duration, until=None):
+        r"""Advance the true time; stop early when ``until()`` is true."""
+        end = self.now + duration
+        while self.events and self.events[0][0] <= end:
+            self.now, _, function, arguments = heapq.heappop(self.events)
+            function(*arguments)
+            checks.after_event(self)
+            if until is not None and until():
+                return True
+        self.now = end
+        return until() if until is not None else False
+
+    def tick(self, host, epoch):
+        if host.epoch != epoch:
+            return
+        if host.paused:
+            host.waiting.append((self.tick, (host, epoch)))
+            return
+        self.at(max(1, int(replica.TICK_MS / host.rate)), self.tick, host,
+                epoch)
+        self.feed(host, replica.TICK)
+
+    def deliver(self, delivery):
+        host = self.host_by_name[delivery.receiver]
+        if host.state is None:
+            return
+        if host.paused:
+            host.waiting.append((self.deliver, (delivery,)))
+            return
+        source = self.host_by_name[delivery.sender].address
+        before = checks.counted(host, delivery.message)
+        self.feed(host, effect.Received(source, delivery.message))
+        checks.after_delivery(self, host, delivery, before)
+
+    def feed(self, host, received):
+        r"""Hand a message to a host and carry out what follows."""
+        pending = [received]
+        while pending and host.state is not None:
+            effects = replica.REPLICA.process(
+                host.state, pending.pop(0), host.clock(self.now))
+            pending = self.carry_out(host, effects) + pending
+
+    def carry_out(self, host, effects):
+        r"""Carry out effects in order; return what is fed back."""
+        returned = []
+        for item in effects:
+            if type(item) in disk.STORAGE:
+                if host.disk.full:
+                    return [message.StorageFailed('disk full')]
+                host.disk.write(item)
+                if self.crash_point(host):
+                    return []
+                host.disk.sync()
+            elif type(item) is message.Stored:
+                returned.append(item)
+            else:
+                EFFECTS.entry_by_name[type(item).__name__](self, host, item)
+            checks.after_effect(self, host, item)
+            if self.crash_point(host):
+                return []
+        return returned
+
+    def crash_point(self, host):
+        r"""Crash the host if its countdown ends here."""
+        if host.crash_in is None:
+            return False
+        host.crash_in -= 1
+        if host.crash_in > 0:
+            return False
+        self.crash(host)
+        return True
+
+    def holder(self):
+        r"""Return the host with the leader lease, or None."""
+        for host in self.live:
+            if not host.paused and states.read_allowed(
+                    host.state, host.clock(self.now)):
+                return host
+        return None
+
+    def propose(self, host):
+        r"""Propose a command with a new key at a host."""
+        key = self.next_key
+        self.next_key += 1
+        self.journal.outcome_by_key[key] = 'pending'
+        self.feed(host, message.Propose(key, b'command-%d' % key))
+        return key
+
+
+@EFFECTS.register('SendControl')
+def send(cluster, host, item):
+    for receiver in cluster.hosts:
+        if receiver.address == item.destination:
+            delivery = network.Delivery(
+                host.name, receiver.name, host.disk.identity, item.message)
+            for delay in cluster.network.delays(host.name, receiver.name):
+                cluster.at(delay, cluster.deliver, delivery)
+
+
+@EFFECTS.register('Committed')
+def apply(cluster, host, item):
+    if item.index <= host.applied_index:
+        return
+    host.applied_index = item.index
+    host.digest = xxhash.xxh64_intdigest(item.payload, seed=host.digest)
+    if item.index - host.snapshot_index >= SNAPSHOT_COMMANDS:
+        host.snapshot_index = item.index
+        # The state machine hands over its state in a later message.
+        state = json.dumps([item.index, host.digest]).encode()
+        cluster.at(1, take_snapshot, cluster, host, host.epoch,
+                   message.SnapshotTaken(item.index, state))
+
+
+def take_snapshot(cluster, host, epoch, taken):
+    if host.epoch == epoch and not host.paused:
+        cluster.feed(host, taken)
+
+
+@EFFECTS.register('SnapshotRestored')
+def restore(cluster, host, item):
+    host.applied_index, host.digest = json.loads(item.state)
+    host.snapshot_index = item.index
+
+
+@EFFECTS.register('LogChange')
+def log_change(cluster, host, item):
+    cluster.log_changes.append((cluster.now, host.name, item))
+
+
+@EFFECTS.register('Proposed')
+@EFFECTS.register('LeadershipChanged')
+@EFFECTS.register('LeaseExtended')
+@EFFECTS.register('MembershipChanged')
+def ignore(cluster, host, item):
+    r"""Nothing is simulated for these; the checks see them."""
+
+
+@EFFECTS.register('ProposalRefused')
+def refused(cluster, host, item):
+    cluster.journal.outcome_by_key[item.key] = 'refused'
+
+
+@EFFECTS.register('ProposalUnknown')
+def unknown(cluster, host, item):
+    cluster.journal.outcome_by_key[item.key] = 'unknown'
--- /dev/null
+++ b/poplarstep/consensus/model/faults.py
@@ -0,0 +1,185 @@
+r"""Faults of a schedule, in a registry that decorators fill."""
+
+from poplarstep.consensus import message
+from poplarstep.consensus import state as states
+from poplarstep.core import registry
+
+# Functions ``(cluster)``; each chooses its victims with the cluster's
+# generator.
+FAULTS = registry.Registry('fault')
+
+
+def choose(cluster, hosts):
+    return cluster.random.choice(hosts) if hosts else None
+
+
+@FAULTS.register('crash')
+def crash(cluster):
+    r"""Crash a host at one of its next writes, syncs or sends."""
+    host = choose(cluster, cluster.live)
+    if host is not None:
+        host.crash_in = cluster.random.randint(1, 12)
+
+
+@FAULTS.register('crash-leader')
+def crash_leader(cluster):
+    host = cluster.holder()
+    if host is not None:
+        host.crash_in = cluster.random.randint(1, 8)
+
+
+@FAULTS.register('restart')
+def restart(cluster):
+    r"""Start all hosts that are down."""
+    for host in cluster.hosts:
+        if host.state is None:
+            cluster.start(host)
+
+
+@FAULTS.register('wipe')
+def wipe(cluster):
+    r"""Lose the disk of one host while all the others have theirs."""
+    if not may_wipe(cluster):
+        return
+    cluster.second_loss = cluster.random.random() < 0.5
+    host = choose(cluster, cluster.hosts)
+    cluster.wipe(host)
+    cluster.at(cluster.random.randint(1, 1500), start_if_down, cluster,
+               host)
+
+
+def start_if_down(cluster, host):
+    if host.state is None:
+        cluster.start(host)
+
+
+def may_wipe(cluster):
+    r"""Return whether every host is a voter with its present disk."""
+    leader = cluster.holder()
+    if leader is None:
+        return False
+    state = leader.state
+    disks = {
+        message.HostIdentity(
+            host.name,
+            host.disk.identity if cluster.mechanisms.disk_identity else '')
+        for host in cluster.hosts}
+    return set(state.voters) == disks and (
+        state.log.members_index <= state.commit_index)
+
+
+@FAULTS.register('cut-one-way')
+def cut_one_way(cluster):
+    sender, receiver = cluster.random.sample(cluster.hosts, 2)
+    cluster.network.cut.add((sender.name, receiver.name))
+
+
+@FAULTS.register('cut-host')
+def cut_host(cluster):
+    r"""Cut all links of one host, in one or both directions."""
+    host = choose(cluster, cluster.hosts)
+    directions = cluster.random.choice(['in', 'out', 'both'])
+    for other in cluster.hosts:
+        if other is host:
+            continue
+        if directions != 'in':
+            cluster.network.cut.add((host.name, other.name))
+        if directions != 'out':
+            cluster.network.cut.add((other.name, host.name))
+
+
+@FAULTS.register('cut-leader')
+def cut_leader(cluster):
+    leader = cluster.holder()
+    if leader is None:
+        return
+    for other in cluster.hosts:
+        if other is not leader:
+            cluster.network.cut.add((leader.name, other.name))
+            cluster.network.cut.add((other.name, leader.name))
+
+
+@FAULTS.register('heal')
+def heal(cluster):
+    cluster.network.calm()
+
+
+@FAULTS.register('noise')
+def noise(cluster):
+    r"""Lose, copy and delay messages; late ones are overtaken."""
+    network = cluster.network
+    network.loss = cluster.random.choice([0.0, 0.05, 0.3])
+    network.copy = cluster.random.choice([0.0, 0.1, 0.5])
+    network.late = cluster.random.choice([0.0, 0.1, 0.5])
+    network.late_ms = cluster.random.choice([20, 200, 2000])
+
+
+@FAULTS.register('pause')
+def pause(cluster):
+    r"""Stop a host's process for a while; its clock runs on."""
+    host = choose(cluster, cluster.live)
+    if host is None or host.paused:
+        return
+    host.paused = True
+    cluster.at(cluster.random.randint(100, 3000), resume, cluster, host,
+               host.epoch)
+
+
+def resume(cluster, host, epoch):
+    if host.epoch == epoch and host.paused:
+        cluster.resume(host)
+
+
+@FAULTS.register('full-disk')
+def full_disk(cluster):
+    host = choose(cluster, cluster.live)
+    if host is not None:
+        host.disk.full = True
+        cluster.at(cluster.random.randint(200, 3000), free_disk, host.disk)
+
+
+def free_disk(held):
+    held.full = False
+
+
+def repair(cluster):
+    r"""Act as the operator: add hosts with a new disk again."""
+    leader = cluster.holder()
+    if leader is None:
+        return
+    members = {member.identity for member in leader.state.log.members}
+    for host in cluster.live:
+        if host.state.identity not in members:
+            cluster.feed(leader, message.ChangeMembership(
+                0, 'add', host.name))
+            return
+    if cluster.second_loss and may_wipe(cluster):
+        cluster.second_loss = False
+        victim = choose(cluster, [
+            host for host in cluster.hosts if host is not leader]
+            if cluster.random.random() < 0.5 else [leader])
+        cluster.wipe(victim)
+        cluster.at(cluster.random.randint(1, 1500), start_if_down, cluster,
+                   victim)
+
+
+def calm(cluster):
+    r"""End all faults: links, pauses, full disks and stopped hosts."""
+    cluster.network.calm()
+    cluster.second_loss = False
+    for host in cluster.hosts:
+        host.crash_in = None
+        host.disk.full = False
+        if host.paused:
+            cluster.resume(host)
+        start_if_down(cluster, host)
+
+
+def propose(cluster):
+    r"""Propose a command at a host that believes that it leads."""
+    leaders = [
+        host for host in cluster.live
+        if host.state.role == states.LEADER and not host.paused]
+    host = choose(cluster, leaders)
+    if host is not None:
+        cluster.propose(host)
--- /dev/null
+++ b/poplarstep/consensus/persistence.py
@@ -0,0 +1,55 @@
+r"""Storage failures and recovery, and the count of what is synced."""
+
+from poplarstep.consensus import handlers
+from poplarstep.consensus import message
+from poplarstep.consensus import replication
+from poplarstep.consensus import roles
+from poplarstep.consensus import state as states
+from poplarstep.core import effect
+
+
+@handlers.REPLICA.handles(message.StorageFailed)
+def storage_failed(state, failed, now):
+    r"""Undo the failed batch, step down, and refuse work for a while.
+
+    Registered without the batch mark, because the mark of the failed batch
+    is needed here.
+    """
+    state.roll_back()
+    state.counters.storage_failures += 1
+    state.storage_ready = False
+    state.probe_due = now + states.STORAGE_PROBE_MS
+    state.incoming = None
+    # The failed batch may have dropped an announcement; repeat it.
+    state.announced = None
+    return [
+        effect.LogChange('storage-failed', (('reason', failed.reason),)),
+    ] + roles.step_down(state, now)
+
+
+def probe_storage(state, now):
+    r"""Try to bring the disk up to date with the memory again."""
+    if now < state.probe_due:
+        return []
+    state.probe_due = now + states.STORAGE_PROBE_MS
+    return [
+        message.SaveVote(state.term, state.voted_for),
+        message.TruncateLog(state.log.last_index + 1),
+        roles.stored_mark(state),
+    ]
+
+
+@handlers.handles(message.Stored)
+def stored(state, written, now):
+    r"""Count the leader's own log, which is now synced."""
+    effects = []
+    if written.failures != state.counters.storage_failures:
+        return []
+    if not state.storage_ready:
+        state.storage_ready = True
+        states.restart_election_timer(state, now)
+        effects.append(effect.LogChange('storage-recovered'))
+    if state.role == states.LEADER and written.term == state.term:
+        state.stored_index = max(state.stored_index, written.last_index)
+        effects.extend(replication.advance_commit(state, now))
+    return effects
--- /dev/null
+++ b/poplarstep/consensus/replica.py
@@ -0,0 +1,58 @@
+r"""Replicated log: the stage ``REPLICA`` and its timer.
+
+Explanation
+===========
+
+Importing this module fills the stage with the handlers of all parts. The
+state is built by ``make_replica``; ``start`` returns what follows from a
+loaded state.
+
+See Also
+========
+
+poplarstep.consensus.message : inputs and outputs inside a host.
+poplarstep.consensus.peer : messages between hosts.
+"""
+
+from poplarstep.consensus import bootstrap
+from poplarstep.consensus import election
+from poplarstep.consensus import follower  # noqa: F401
+from poplarstep.consensus import handlers
+from poplarstep.consensus import membership
+from poplarstep.consensus import message
+from poplarstep.consensus import persistence
+from poplarstep.consensus import replication
+from poplarstep.consensus import snapshot  # noqa: F401
+from poplarstep.consensus import state as states
+from poplarstep.core import timer
+
+TICK = timer.Tick('consensus')
+TICK_MS = 50
+
+REPLICA = handlers.REPLICA
+make_replica = states.make_replica
+read_allowed = states.read_allowed
+
+
+def start(state):
+    r"""Return the effects of a start: the state that storage loaded."""
+    saved = state.log.snapshot
+    if saved is None or not saved.index:
+        return []
+    return [message.SnapshotRestored(saved.index, saved.state)]
+
+
+@handlers.handles(timer.Tick)
+def tick(state, ticked, now):
+    r"""Do what is due: storage probe, hello, heartbeat or election."""
+    if ticked != TICK:
+        return [ticked]
+    if not state.storage_ready:
+        return persistence.probe_storage(state, now)
+    effects = bootstrap.tick(state, now)
+    if not state.group:
+        return effects
+    if state.role == states.LEADER:
+        effects.extend(replication.lead(state, now))
+        return effects + membership.promote(state, now)
+    return effects + election.tick(state, now)
--- /dev/null
+++ b/poplarstep/consensus/roles.py
@@ -0,0 +1,76 @@
+r"""Changes of a replica's role, and delivery of committed entries."""
+
+from poplarstep.consensus import message
+from poplarstep.consensus import state as states
+
+
+def become_follower(state, term, leader, now):
+    r"""Follow a leader, or wait for one when ``leader`` is None."""
+    effects = []
+    if state.role == states.LEADER:
+        effects.extend(step_down(state, now))
+    if term > state.term:
+        state.term = term
+        state.voted_for = None
+        effects.append(message.SaveVote(term, None))
+    state.role = states.FOLLOWER
+    state.votes = set()
+    if leader is not None or state.leader is not None:
+        effects.extend(states.set_leader(state, leader))
+    return effects
+
+
+def step_down(state, now):
+    r"""Stop leading or standing; the outcome of pending commands is unknown.
+
+    Votes stay refused as long as a lease that was granted may be relied on.
+    """
+    pending = sorted(state.key_by_index.values())
+    if state.role == states.LEADER:
+        state.vote_after = max(
+            state.vote_after,
+            quorum_contact(state, now) + states.ELECTION_MINIMUM_MS)
+    state.role = states.FOLLOWER
+    state.key_by_index = {}
+    state.lease_until = 0
+    state.progress_by_identity = {}
+    state.term_start_index = 0
+    states.restart_election_timer(state, now)
+    return [
+        message.ProposalUnknown(key, '') for key in pending
+    ] + states.set_leader(state, None)
+
+
+def quorum_contact(state, now):
+    r"""Return since when, in ms, a quorum has been known to follow."""
+    contact = states.reached_by_quorum(
+        state, now, lambda progress: progress.answered)
+    return max(state.leader_since, contact or 0)
+
+
+def stored_mark(state):
+    r"""Return the effect that reports that the log has been synced."""
+    return message.Stored(
+        state.term, state.log.last_index, state.counters.storage_failures)
+
+
+def apply_committed(state, now):
+    r"""Return the committed entries that were not handed out yet."""
+    effects = []
+    removed = False
+    for entry in state.log.between(
+            state.applied_index + 1, state.commit_index):
+        state.applied_index = entry.index
+        key = state.key_by_index.pop(entry.index, 0)
+        if entry.kind == message.COMMAND:
+            effects.append(message.Committed(
+                entry.index, entry.term, entry.payload, key))
+        elif entry.kind == message.MEMBERSHIP:
+            effects.append(message.MembershipChanged(
+                entry.index, entry.members, key))
+            removed = all(
+                member.identity != state.identity
+                for member in entry.members)
+    if removed and state.role == states.LEADER:
+        effects.extend(step_down(state, now))
+    return effects
--- /dev/null
+++ b/poplarstep/consensus/schedules.py
@@ -0,0 +1,166 @@
+r"""Random schedules of faults against the replicated log.
+
+Explanation
+===========
+
+One seed is one schedule: a group is formed, commands are proposed while
+faults happen at random moments, an operator adds hosts that lost their
+disk, and at last all faults end and the group must recover.
+
+``python -m poplarstep.consensus.schedules --seeds 2000`` runs many seeds
+and prints a table.
+"""
+
+import collections
+import concurrent.futures
+import sys
+
+import click
+import tabulate
+
+from poplarstep.consensus.model import checks
+from poplarstep.consensus.model import cluster as clusters
+from poplarstep.consensus.model import faults
+from poplarstep.consensus import state as states
+from poplarstep.core import record
+
+FORMATION_MS = 10000
+FAULTS_MS = 15000
+# Two elections, the repair of a lost disk and a resend take less.
+RECOVERY_MS = 20000
+PROPOSAL_MS = 40
+REPAIR_MS = 100
+
+
+class Outcome(record.Record):
+    r"""Result of one schedule; ``violation`` is empty when all holds."""
+
+    __slots__ = (
+        'seed', 'violation', 'text', 'commands', 'terms', 'promotions',
+        'lease_changes', 'count_by_fault')
+
+    def __init__(
+            self, seed: int, violation: str, text: str, commands: int,
+            terms: int, promotions: int, lease_changes: int,
+            count_by_fault: dict):
+        self.seed = seed
+        self.violation = violation
+        self.text = text
+        self.commands = commands
+        self.terms = terms
+        self.promotions = promotions
+        self.lease_changes = lease_changes
+        self.count_by_fault = count_by_fault
+
+
+def run_seed(seed, mechanisms=None, skipped=()):
+    r"""Run one schedule.
+
+    Parameters
+    ==========
+
+    seed : int
+        Odd seeds use five hosts, even ones three.
+    mechanisms : Mechanisms or None
+        Safety mechanisms that are on; all by default.
+    skipped : iterable of str
+        Names of checks that are not made.
+    """
+    cluster = clusters.Cluster(
+        5 if seed % 2 else 3, seed, mechanisms, skipped)
+    count_by_fault = collections.Counter()
+    violation = text = ''
+    try:
+        play(cluster, count_by_fault)
+    except checks.ViolationError as error:
+        violation, text = error.check, str(error)
+    journal = cluster.journal
+    return Outcome(
+        seed, violation, text, len(journal.command_by_index),
+        len(journal.leader_by_term), journal.promotions,
+        journal.lease_changes, dict(count_by_fault))
+
+
+def play(cluster, count_by_fault):
+    r"""Form a group, disturb it, and let it recover."""
+    cluster.at(1, repeat, cluster, PROPOSAL_MS, faults.propose)
+    cluster.at(1, repeat, cluster, REPAIR_MS, faults.repair)
+    if not cluster.run(FORMATION_MS, lambda: cluster.holder() is not None):
+        raise checks.ViolationError(
+            'progress', 'no group was formed', cluster.now)
+    end = cluster.now + FAULTS_MS
+    while cluster.now < end:
+        cluster.run(cluster.random.randint(20, 1200))
+        name = cluster.random.choice(faults.FAULTS.names())
+        count_by_fault[name] += 1
+        faults.FAULTS.find(name).unwrap()(cluster)
+    faults.calm(cluster)
+    acknowledged = cluster.journal.acknowledged
+    if not cluster.run(
+            RECOVERY_MS, lambda: recovered(cluster, acknowledged)):
+        raise checks.ViolationError(
+            'progress', 'the group has not recovered', cluster.now)
+
+
+def repeat(cluster, period, function):
+    function(cluster)
+    cluster.at(period, repeat, cluster, period, function)
+
+
+def recovered(cluster, acknowledged):
+    r"""Return whether new commands are applied by all, who all vote."""
+    return (
+        faults.may_wipe(cluster)
+        and len(cluster.live) == len(cluster.hosts)
+        and all(host.applied_index > acknowledged
+                for host in cluster.hosts))
+
+
+@click.command()
+@click.option('--seeds', default=200, help='Number of schedules.')
+@click.option('--first', default=0, help='First seed.')
+@click.option(
+    '--processes', default=4, type=click.IntRange(1, 4),
+    help='Processes to use.')
+@click.option(
+    '--without', 'switched_off', default=None,
+    type=click.Choice(states.Mechanisms.__slots__),
+    help='Mechanism to switch off.')
+def main(seeds, first, processes, switched_off):
+    """Run random schedules and print a table; fail on a violation."""
+    mechanisms = states.Mechanisms()
+    if switched_off:
+        mechanisms = mechanisms.replace(**{switched_off: False})
+    numbers = range(first, first + seeds)
+    with concurrent.futures.ProcessPoolExecutor(processes) as pool:
+        outcomes = list(pool.map(
+            run_seed, numbers, [mechanisms] * seeds, chunksize=8))
+    report(outcomes)
+    sys.exit(any(outcome.violation for outcome in outcomes))
+
+
+def report(outcomes):
+    r"""Print totals and the first seeds of each violation."""
+    seeds_by_violation = collections.defaultdict(list)
+    count_by_fault = collections.Counter()
+    for outcome in outcomes:
+        count_by_fault.update(outcome.count_by_fault)
+        if outcome.violation:
+            seeds_by_violation[outcome.violation].append(outcome)
+    rows = [('schedules', len(outcomes))]
+    for name in ('commands', 'terms', 'promotions', 'lease_changes'):
+        rows.append((name.replace('_', ' '), sum(
+            getattr(outcome, name) for outcome in outcomes)))
+    rows.extend(
+        ('fault ' + name, count)
+        for name, count in sorted(count_by_fault.items()))
+    rows.append(('violations', sum(
+        len(found) for found in seeds_by_violation.values())))
+    click.echo(tabulate.tabulate(rows, ('what', 'number')))
+    for violation, found in sorted(seeds_by_violation.items()):
+        click.echo('%s: %d, first seed %d: %s' % (
+            violation, len(found), found[0].seed, found[0].text))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/poplarstep/consensus/snapshot.py
@@ -0,0 +1,114 @@
+r"""Snapshots: compaction of the own log, and transfer in chunks."""
+
+from poplarstep.consensus import handlers
+from poplarstep.consensus import message
+from poplarstep.consensus import peer
+from poplarstep.consensus import roles
+from poplarstep.consensus import state as states
+
+
+class Incoming:
+    r"""Snapshot that is being received."""
+
+    __slots__ = ('index', 'term', 'total', 'data')
+
+    def __init__(self, index, term, total):
+        self.index = index
+        self.term = term
+        self.total = total
+        self.data = bytearray()
+
+
+@handlers.handles(message.SnapshotTaken)
+def compact(state, taken, now):
+    r"""Save the state machine's state and drop the log before it."""
+    index = taken.index
+    if not state.storage_ready or not (
+            state.log.snapshot.index < index <= state.applied_index):
+        return []
+    saved = message.Snapshot(
+        state.group, index, state.log.term_at(index),
+        state.log.members_at(index), taken.state)
+    state.log.compact(saved)
+    return [message.SaveSnapshot(saved)]
+
+
+def send_chunk(state, member, progress, now):
+    r"""Send the next chunk of the latest snapshot to a member.
+
+    While an answer is missing, an empty chunk asks for the next offset.
+    """
+    saved = state.log.snapshot
+    if progress.snapshot_index != saved.index:
+        progress.snapshot_index = saved.index
+        progress.offset = 0
+    if progress.offset == 0 and not progress.waiting:
+        state.counters.snapshots_sent += 1
+    chunk = b''
+    if not progress.waiting:
+        chunk = saved.state[
+            progress.offset:progress.offset + peer.MAXIMUM_CHUNK_BYTES]
+    progress.waiting = True
+    return states.send(member.address, peer.InstallSnapshot(
+        state.identity, member.identity, state.group, state.term,
+        saved.index, saved.term, saved.members, progress.offset,
+        len(saved.state), chunk, now))
+
+
+@handlers.PEERS.handles(peer.InstallSnapshot)
+def receive_chunk(state, received, now):
+    r"""Collect a chunk; adopt the snapshot when it is complete."""
+    request = received.message
+    if request.term < state.term:
+        return _reply(state, received, 0, False)
+    effects = roles.become_follower(
+        state, request.term, request.sender, now)
+    states.hear_leader(state, now)
+    if state.group and request.index <= state.commit_index:
+        return effects + _reply(state, received, request.total, True)
+    incoming = _incoming(state, request)
+    if request.offset == len(incoming.data):
+        incoming.data.extend(request.chunk)
+    if len(incoming.data) < incoming.total:
+        return effects + _reply(
+            state, received, len(incoming.data), False)
+    return effects + _install(state, request) + _reply(
+        state, received, request.total, True)
+
+
+def _incoming(state, request):
+    current = state.incoming
+    if current is None or (
+            current.index, current.term, current.total) != (
+            request.index, request.snapshot_term, request.total):
+        state.incoming = Incoming(
+            request.index, request.snapshot_term, request.total)
+    return state.incoming
+
+
+def _install(state, request):
+    saved = message.Snapshot(
+        request.group, request.index, request.snapshot_term,
+        request.members, bytes(state.incoming.data))
+    state.incoming = None
+    state.counters.snapshots_installed += 1
+    effects = []
+    if state.log.last_index > saved.index and (
+            state.log.term_at(saved.index) != saved.term):
+        # Removed first: entries of another history must not follow the
+        # snapshot if the host stops between the two effects.
+        effects.append(message.TruncateLog(saved.index + 1))
+    state.log.install(saved)
+    state.commit_index = state.applied_index = saved.index
+    effects.append(message.SaveSnapshot(saved))
+    if saved.index:
+        effects.append(
+            message.SnapshotRestored(saved.index, saved.state))
+    return effects
+
+
+def _reply(state, received, offset, done):
+    request = received.message
+    return states.send(received.source, peer.SnapshotReply(
+        state.identity, request.group, state.term, request.index, offset,
+        done, request.sent_at))
--- /dev/null
+++ b/poplarstep/edge/frame.py
@@ -0,0 +1,73 @@
+r"""Frames with a checksum, and synced writes.
+
+Explanation
+===========
+
+A frame is 4 bytes length, 8 bytes xxhash64 (both little-endian), and the
+record. The hash covers the length and the record. Its seed is the offset of
+the frame in its file, so that a frame inside another record is not taken
+for one of the file.
+"""
+
+import os
+import struct
+
+import xxhash
+
+HEADER = struct.Struct('<IQ')
+
+
+def make(body, offset):
+    r"""Return a frame that holds a record, for an offset of a file.
+
+    Examples
+    ========
+
+    >>> read(make(b'record', 0), 0)
+    (b'record', 18)
+    >>> read(make(b'record', 0)[:-1], 0)
+    (None, 0)
+
+    """
+    length = struct.pack('<I', len(body))
+    return HEADER.pack(
+        len(body), xxhash.xxh64_intdigest(length + body, seed=offset)) + body
+
+
+def read(data, offset):
+    r"""Return the record of a frame and its end, or ``(None, offset)``."""
+    start = offset + HEADER.size
+    if start > len(data):
+        return None, offset
+    length, checksum = HEADER.unpack_from(data, offset)
+    end = start + length
+    if end > len(data):
+        return None, offset
+    body = data[start:end]
+    if xxhash.xxh64_intdigest(
+            data[offset:offset + 4] + body, seed=offset) != checksum:
+        return None, offset
+    return body, end
+
+
+def intact_after(data, offset):
+    r"""Return whether an intact frame starts anywhere after an offset."""
+    return any(
+        read(data, start)[0] is not None
+        for start in range(offset + 1, len(data) - HEADER.size))
+
+
+def sync_folder(folder):
+    r"""Make created, renamed and removed names of a folder durable."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def write_all(descriptor, data):
+    r"""Write all bytes, also when the kernel takes only a part."""
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view):]
--- /dev/null
+++ b/poplarstep/edge/storage.py
@@ -0,0 +1,418 @@
+r"""Data folder of a control host: log, vote, snapshot and disk identity.
+
+Explanation
+===========
+
+Every file consists of frames (``poplarstep.edge.frame``). The log is a
+journal of ``AppendLog`` and ``TruncateLog`` records in segments
+``log-<number>``. A write is one frame and is synced before the next one,
+so at most one frame at the end can be torn; it is removed at the next
+start. A damaged frame that is followed by an intact one is corruption, and
+the folder is refused.
+
+The other files are written to a temporary name, synced and renamed, and
+the folder is synced. The code is synchronous and belongs to one task.
+"""
+
+import errno
+import fcntl
+import os
+import uuid
+
+from returns import result
+
+from poplarstep.consensus import message
+from poplarstep.core import record
+from poplarstep.core import registry
+from poplarstep.edge import codec
+from poplarstep.edge import frame
+
+SEGMENT_BYTES = 16 * 1024 * 1024
+SEGMENT_PREFIX = 'log-'
+TEMPORARY_SUFFIX = '.tmp'
+DISK_FULL = (errno.ENOSPC, errno.EDQUOT)
+
+# Functions ``(storage, effect)`` by class name of the storage effect.
+WRITERS = registry.Registry('storage effect')
+
+
+class DiskIdentity(record.Record):
+    r"""Identity of a data folder, drawn when the folder is created."""
+
+    __slots__ = ('disk',)
+
+    def __init__(self, disk: str):
+        self.disk = disk
+
+
+class CorruptionError(Exception):
+    r"""A file of the data folder cannot be trusted."""
+
+
+class Loaded(record.Record):
+    r"""What a data folder held when it was opened."""
+
+    __slots__ = ('disk', 'term', 'voted_for', 'snapshot', 'entries')
+
+    def __init__(
+            self, disk: str, term: int,
+            voted_for: message.HostIdentity | None,
+            snapshot: message.Snapshot | None,
+            entries: tuple[message.LogEntry, ...]):
+        self.disk = disk
+        self.term = term
+        self.voted_for = voted_for
+        self.snapshot = snapshot
+        self.entries = entries
+
+
+class Segment:
+    r"""One file of the log; ``highest`` is the greatest index in it."""
+
+    __slots__ = ('number', 'highest')
+
+    def __init__(self, number, highest=0):
+        self.number = number
+        self.highest = highest
+
+    @property
+    def name(self):
+        return '%s%020d' % (SEGMENT_PREFIX, self.number)
+
+
+class Storage:
+    r"""Open data folder, locked against other processes.
+
+    Build it with ``open_folder``. ``loaded`` is what the folder held.
+    """
+
+    __slots__ = (
+        'folder', 'lock', 'loaded', 'segments', 'descriptor', 'size',
+        'segment_bytes', 'broken', 'codec')
+
+    def __init__(self, folder, lock, segment_bytes):
+        self.folder = folder
+        self.lock = lock
+        self.loaded = None
+        self.segments = []
+        self.descriptor = None
+        self.size = 0
+        self.segment_bytes = segment_bytes
+        self.broken = ''
+        self.codec = codec.Codec([
+            DiskIdentity, message.SaveVote, message.SaveSnapshot,
+            message.AppendLog, message.TruncateLog])
+
+    def path(self, name):
+        return os.path.join(self.folder, name)
+
+    def perform(self, storage_effect):
+        r"""Carry out and sync a storage effect.
+
+        Returns
+        =======
+
+        Result
+            ``Success(None)`` when it is durable. ``Failure(str)`` when the
+            disk is full, and nothing of it remains; or after another error,
+            and then every later call fails too until the folder is opened
+            again, because the kernel may have dropped unsynced pages.
+        """
+        if self.broken:
+            return result.Failure(self.broken)
+        writer = WRITERS.find(type(storage_effect).__name__).unwrap()
+        try:
+            writer(self, storage_effect)
+        except OSError as error:
+            reason = 'data folder %s: %s failed: %s' % (
+                self.folder, type(storage_effect).__name__, error)
+            if error.errno not in DISK_FULL and not self.broken:
+                self.broken = reason
+            return result.Failure(reason)
+        return result.Success(None)
+
+    def close(self):
+        r"""Close the files and release the lock."""
+        if self.descriptor is not None:
+            os.close(self.descriptor)
+            self.descriptor = None
+        os.close(self.lock)
+
+
+def open_folder(folder, segment_bytes=SEGMENT_BYTES):
+    r"""Open or create a data folder.
+
+    Parameters
+    ==========
+
+    folder : str
+        Path; it is created if it is absent.
+    segment_bytes : int
+        Size at which a new log segment is started.
+
+    Returns
+    =======
+
+    Result[Storage, str]
+        ``Failure`` names the file, and for a damaged one the offset.
+    """
+    try:
+        os.makedirs(folder, exist_ok=True)
+        frame.sync_folder(os.path.dirname(os.path.abspath(folder)))
+        lock = os.open(
+            os.path.join(folder, 'lock'), os.O_RDWR | os.O_CREAT, 0o600)
+    except OSError as error:
+        return result.Failure('data folder %s: %s' % (folder, error))
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(lock)
+        return result.Failure(
+            'data folder %s is used by another process' % folder)
+    storage = Storage(folder, lock, segment_bytes)
+    try:
+        _load(storage)
+    except (OSError, CorruptionError) as error:
+        storage.close()
+        return result.Failure('data folder %s: %s' % (folder, error))
+    return result.Success(storage)
+
+
+def _load(storage):
+    names = sorted(os.listdir(storage.folder))
+    for name in names:
+        if name.endswith(TEMPORARY_SUFFIX):
+            os.unlink(storage.path(name))
+    numbers = [
+        int(name[len(SEGMENT_PREFIX):]) for name in names
+        if name.startswith(SEGMENT_PREFIX)]
+    used = numbers or 'vote' in names or 'snapshot' in names
+    disk = _load_identity(storage, names, used)
+    vote = message.SaveVote(0, None)
+    if 'vote' in names:
+        vote = _read_record(storage, 'vote', message.SaveVote)[0]
+    snapshot = _load_snapshot(storage) if 'snapshot' in names else None
+    entries = _load_log(storage, numbers, snapshot)
+    storage.loaded = Loaded(
+        disk, vote.term, vote.voted_for, snapshot, tuple(entries))
+
+
+def _load_identity(storage, names, used):
+    if 'identity' in names:
+        return _read_record(storage, 'identity', DiskIdentity)[0].disk
+    if used:
+        raise CorruptionError('file identity is missing beside other files')
+    disk = uuid.uuid4().hex
+    _replace_file(
+        storage, 'identity', [storage.codec.encode(DiskIdentity(disk))])
+    return disk
+
+
+def _read_record(storage, name, expected):
+    r"""Return the first record of a file and the offset after it."""
+    with open(storage.path(name), 'rb') as file:
+        data = file.read()
+    body, end = frame.read(data, 0)
+    if body is None:
+        raise CorruptionError('file %s is damaged at offset 0' % name)
+    found = _decode(storage, name, 0, body)
+    if type(found) is not expected:
+        raise CorruptionError(
+            'file %s holds %s at offset 0, not %s' % (
+                name, type(found).__name__, expected.__name__))
+    return found, data, end
+
+
+def _load_snapshot(storage):
+    found, data, end = _read_record(
+        storage, 'snapshot', message.SaveSnapshot)
+    state, end_of_state = frame.read(data, end)
+    if state is None or end_of_state != len(data):
+        raise CorruptionError(
+            'file snapshot is damaged at offset %d' % end)
+    return found.snapshot.replace(state=state)
+
+
+def _load_log(storage, numbers, snapshot):
+    entries = []
+    for number in numbers:
+        segment = Segment(number)
+        storage.segments.append(segment)
+        last = number == numbers[-1]
+        data = _read_segment(storage, segment.name, last)
+        offset = 0
+        while offset < len(data):
+            body, end = frame.read(data, offset)
+            found = _decode(storage, segment.name, offset, body)
+            _replay(segment, offset, found, entries, snapshot)
+            offset = end
+        storage.size = len(data)
+    covered = snapshot.index if snapshot else -1
+    kept = [entry for entry in entries if entry.index > covered]
+    if kept and (not snapshot or kept[0].index != covered + 1):
+        raise CorruptionError(
+            'the log starts at entry %d, but the snapshot %s' % (
+                kept[0].index,
+                'ends at %d' % covered if snapshot else 'is missing'))
+    if storage.segments:
+        storage.descriptor = os.open(
+            storage.path(storage.segments[-1].name),
+            os.O_WRONLY | os.O_APPEND)
+    return kept
+
+
+def _read_segment(storage, name, last):
+    r"""Return a segment's intact data; remove a torn frame at its end."""
+    with open(storage.path(name), 'rb') as file:
+        data = file.read()
+    offset = 0
+    while offset < len(data):
+        body, end = frame.read(data, offset)
+        if body is None:
+            break
+        offset = end
+    if offset == len(data):
+        return data
+    if not last or frame.intact_after(data, offset):
+        raise CorruptionError(
+            'file %s is damaged at offset %d and intact after it'
+            % (name, offset))
+    descriptor = os.open(storage.path(name), os.O_WRONLY)
+    try:
+        os.ftruncate(descriptor, offset)
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+    return data[:offset]
+
+
+def _replay(segment, offset, found, entries, snapshot):
+    if type(found) is message.TruncateLog:
+        while entries and entries[-1].index >= found.index:
+            entries.pop()
+        return
+    if type(found) is not message.AppendLog or not found.entries:
+        raise CorruptionError('file %s holds %s at offset %d' % (
+            segment.name, type(found).__name__, offset))
+    first = found.entries[0].index
+    if entries and first != entries[-1].index + 1:
+        # An installed snapshot may cover entries that were never here.
+        covered = snapshot.index if snapshot else 0
+        if first <= entries[-1].index or first > covered + 1:
+            raise CorruptionError(
+                'file %s: entry %d follows entry %d at offset %d' % (
+                    segment.name, first, entries[-1].index, offset))
+        entries.clear()
+    entries.extend(found.entries)
+    segment.highest = max(segment.highest, found.entries[-1].index)
+
+
+def _decode(storage, name, offset, body):
+    outcome = storage.codec.decode(body)
+    if isinstance(outcome, result.Failure):
+        raise CorruptionError('file %s at offset %d: %s' % (
+            name, offset, outcome.failure()))
+    return outcome.unwrap()
+
+
+def _replace_file(storage, name, bodies):
+    r"""Replace a file by frames; it has the old or the new content."""
+    temporary = storage.path(name + TEMPORARY_SUFFIX)
+    descriptor = os.open(
+        temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        offset = 0
+        for body in bodies:
+            framed = frame.make(body, offset)
+            frame.write_all(descriptor, framed)
+            offset += len(framed)
+        os.fsync(descriptor)
+    except OSError:
+        os.unlink(temporary)
+        raise
+    finally:
+        os.close(descriptor)
+    os.replace(temporary, storage.path(name))
+    try:
+        frame.sync_folder(storage.folder)
+    except OSError as error:
+        # Whether the new name survives a crash is unknown.
+        storage.broken = 'data folder %s: sync failed: %s' % (
+            storage.folder, error)
+        raise
+
+
+def _start_segment(storage):
+    number = storage.segments[-1].number + 1 if storage.segments else 1
+    segment = Segment(number)
+    path = storage.path(segment.name)
+    descriptor = os.open(
+        path, os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_EXCL, 0o600)
+    try:
+        frame.sync_folder(storage.folder)
+    except OSError:
+        os.close(descriptor)
+        os.unlink(path)
+        raise
+    if storage.descriptor is not None:
+        os.close(storage.descriptor)
+    storage.segments.append(segment)
+    storage.descriptor = descriptor
+    storage.size = 0
+
+
+def _write_frame(storage, body):
+    r"""Append a frame to the log and sync it, or leave nothing of it."""
+    if storage.descriptor is None or storage.size >= storage.segment_bytes:
+        _start_segment(storage)
+    framed = frame.make(body, storage.size)
+    try:
+        frame.write_all(storage.descriptor, framed)
+        os.fsync(storage.descriptor)
+    except OSError:
+        _remove_partial_frame(storage)
+        raise
+    storage.size += len(framed)
+
+
+def _remove_partial_frame(storage):
+    try:
+        os.ftruncate(storage.descriptor, storage.size)
+        os.fsync(storage.descriptor)
+    except OSError as error:
+        storage.broken = (
+            'data folder %s: partial record could not be removed: %s'
+            % (storage.folder, error))
+
+
+@WRITERS.register('AppendLog')
+def append_log(storage, appended):
+    _write_frame(storage, storage.codec.encode(appended))
+    segment = storage.segments[-1]
+    segment.highest = max(segment.highest, appended.entries[-1].index)
+
+
+@WRITERS.register('TruncateLog')
+def truncate_log(storage, truncated):
+    _write_frame(storage, storage.codec.encode(truncated))
+
+
+@WRITERS.register('SaveVote')
+def save_vote(storage, vote):
+    _replace_file(storage, 'vote', [storage.codec.encode(vote)])
+
+
+@WRITERS.register('SaveSnapshot')
+def save_snapshot(storage, saved):
+    snapshot = saved.snapshot
+    head = saved.replace(snapshot=snapshot.replace(state=b''))
+    _replace_file(
+        storage, 'snapshot', [storage.codec.encode(head), snapshot.state])
+    while len(storage.segments) > 1 and (
+            storage.segments[0].highest <= snapshot.index):
+        try:
+            os.unlink(storage.path(storage.segments[0].name))
+        except OSError:
+            # The snapshot is durable; the next one tries again.
+            return
+        del storage.segments[0]
