Add the service-level burn report

Cause: operators need to see how fast each service uses up its error budget, without guesses where samples are missing. Change: objectives and their text, counter samples, series with running sums, multi-window burn rates, tables, plots and the history file.

--- /dev/null
+++ b/poplarstep/reports/__init__.py
@@ -0,0 +1,11 @@
+"""Service-level burn report: objectives, burn rates, tables and plots."""
+
+__all__ = [
+    'burn',
+    'history',
+    'objective',
+    'plot',
+    'sample',
+    'series',
+    'table',
+]
