Keep the functions of the parsers under 40 lines

Cause: three functions with their docstrings had 40 to 43 lines. Change: only_one, build_all and read_word are functions of their own.

--- a/poplarstep/language/parser.py
+++ b/poplarstep/language/parser.py
@@ -166,6 +166,17 @@
     return result.Success(statement_class(**value_by_field))
 
 
+def build_all(text, trees):
+    r"""Return ``Success`` of a tuple of statements, or the first error."""
+    statements = []
+    for tree in trees:
+        outcome = build(text, tree)
+        if not isinstance(outcome, result.Success):
+            return outcome
+        statements.append(outcome.unwrap())
+    return result.Success(tuple(statements))
+
+
 def parse_script(text):
     r"""Parse statements that are separated by line ends or semicolons.
 
@@ -198,13 +209,7 @@
         tree = progress.interactive.feed_eof()
     except lark.UnexpectedInput as error:
         return result.Failure(describe_error(text, progress, error))
-    statements = []
-    for part in tree.children:
-        outcome = build(text, part)
-        if not isinstance(outcome, result.Success):
-            return outcome
-        statements.append(outcome.unwrap())
-    return result.Success(tuple(statements))
+    return build_all(text, tree.children)
 
 
 def parse(text):
@@ -238,15 +243,16 @@
     poplarstep.language.statement.format_statement
 
     """
-    outcome = parse_script(text)
-    if not isinstance(outcome, result.Success):
-        return outcome
-    statements = outcome.unwrap()
+    return parse_script(text).bind(
+        lambda statements: only_one(text, statements))
+
+
+def only_one(text, statements):
+    r"""Return ``Success`` of the one statement in a script, or a message."""
     if len(statements) == 1:
         return result.Success(statements[0])
-    if not statements:
-        progress = Progress('')
-        return result.Failure('%s: found the end of the text, allowed: %s' % (
-            place(text, len(text)), describe_allowed(progress)))
-    return result.Failure(
-        'found %d statements, allowed: one statement' % len(statements))
+    if statements:
+        return result.Failure(
+            'found %d statements, allowed: one statement' % len(statements))
+    return result.Failure('%s: found the end of the text, allowed: %s' % (
+        place(text, len(text)), describe_allowed(Progress(''))))
--- a/poplarstep/reports/burn.py
+++ b/poplarstep/reports/burn.py
@@ -200,8 +200,8 @@
 
     >>> from poplarstep.reports import objective, sample
     >>> samples = [
-    ...     sample.Sample('gs-a-1', 'certs', step * 30000, step * 100,
-    ...                   step * 98) for step in range(7 * 120 + 1)]
+    ...     sample.Sample('a', 'certs', step * 30000, step * 100, step * 98)
+    ...     for step in range(7 * 120 + 1)]
     >>> goal = objective.parse('certs availability 99.9% 30d').unwrap()
     >>> found = burn_rates(samples, goal, now=7 * HOUR_MS)
     >>> found.state, found.outcomes[0].long.burn_rate
@@ -218,16 +218,9 @@
         Service, kind and target share.
     now : int
         Unix time in ms at which all windows end.
-    period_ms : int
-        Time between the samples of a node.
-    nodes : iterable of str or None
-        Nodes in operation; see ``series.Series``.
-
-    See Also
-    ========
-
-    burn_over_time
-
+    period_ms, nodes : int, iterable of str or None
+        Time between the samples of a node and the nodes in operation; see
+        ``series.Series``.
     """
     return report(
         series.Series(samples, objective, period_ms, nodes), objective, now)
--- a/poplarstep/reports/objective.py
+++ b/poplarstep/reports/objective.py
@@ -9,6 +9,7 @@
 """
 
 import decimal
+import itertools
 import re
 
 from returns import result
@@ -167,23 +168,34 @@
     words = text.split()
     kind = words[1] if len(words) > 1 else ''
     form = KINDS.find(kind).value_or(Availability).FORM
+    if len(words) > len(form):
+        form += ('the end',)
     field_by_name = {'threshold_ms': None}
-    for position, part in enumerate(form):
-        found = repr(words[position][:60]) if position < len(words) else (
-            'the end')
-        read = READERS.entry_by_name.get(part, literal_reader(part))
-        outcome = read(words[position] if position < len(words) else '')
+    for part, word in itertools.zip_longest(form, words):
+        outcome = read_word(part, word)
         if not isinstance(outcome, result.Success):
-            return result.Failure('found %s, allowed: %s' % (
-                found, outcome.failure()))
+            return outcome
         if part in READERS.entry_by_name:
             field_by_name[part] = outcome.unwrap()
-    if len(words) > len(form):
-        return result.Failure('found %r, allowed: the end' % (
-            words[len(form)][:60]))
     return result.Success(Objective(**field_by_name))
 
 
+def read_word(part, word):
+    r"""Read the word, or None at the end, that stands for a part of a form.
+
+    Examples
+    ========
+
+    >>> read_word('under', 'over').failure()
+    "found 'over', allowed: under"
+
+    """
+    read = READERS.entry_by_name.get(part, literal_reader(part))
+    found = 'the end' if word is None else repr(word[:60])
+    return read(word or '').alt(
+        lambda allowed: 'found %s, allowed: %s' % (found, allowed))
+
+
 def literal_reader(word):
     r"""Return a reader that admits one word only."""
     def read(text):
