Reject ports with foreign digits or too many digits

Cause: int() accepts digits of other scripts and raises on 4,300 digits. Change: the port has to match one to five ASCII digits. Before: '1.2.3.4:\u0663' gave port 3, a 5,000-digit port raised ValueError.

--- a/poplarstep/core/address.py
+++ b/poplarstep/core/address.py
@@ -1,12 +1,15 @@
 r"""Internet addresses of processes and services."""
 
 import ipaddress
+import re
 
 from returns import result
 
 from poplarstep.core import record
 
 MAXIMUM_PORT = 65535
+# int() accepts digits of other scripts and rejects very long numbers.
+PORT_PATTERN = re.compile('[0-9]{1,5}')
 
 
 class Address(record.Record):
@@ -53,7 +56,7 @@
 
     """
     ip, separator, port = text.rpartition(':')
-    if not separator or not port.isdecimal():
+    if not separator or not PORT_PATTERN.fullmatch(port):
         return result.Failure(
             'address %r is not of the form IP:PORT' % text)
     try:
