Carry packets through a balancer without encoding them again

Cause: a profile showed 13.4 us for encoding and 8.1 us for decoding each forwarded request; addresses were formatted and parsed as text, the token was sealed again, and each stage was asked for a handler. Change: addresses travel as six bytes with cached conversions, a nested packet travels in the form in which it arrived, records are converted by plans made once, pipelines skip stages without a handler, no Success object per datagram. benchmarks/packets.py measures it.

--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Commands that measure speed, memory and spread."""
--- /dev/null
+++ b/benchmarks/packets.py
@@ -0,0 +1,295 @@
+r"""Packets and opens per second of one balancer process.
+
+Explanation
+===========
+
+A child process runs either a bare gevent UDP forwarder or the balancer's
+pipeline on real sockets. The parent keeps a window of datagrams in flight
+and reads the child's processor time. The bare forwarder in the same run is
+the yardstick: it shows what sockets and interpreter cost without decisions.
+"""
+
+import json
+import random
+import subprocess
+import sys
+import time
+
+import click
+import gevent
+import psutil
+import tabulate
+
+from poplarstep.configuration import model
+from poplarstep.core import address
+from poplarstep.core import timer
+from poplarstep.edge import clock
+from poplarstep.edge import codec
+from poplarstep.edge import datagrams
+from poplarstep.edge import proxy_header
+from poplarstep.edge import task as tasks
+from poplarstep.flow import packet
+from poplarstep.flow import token
+from poplarstep.programs import balancer as balancers
+
+KEY = b'benchmark-key-of-32-bytes-length'
+FRONT = address.Address('127.50.0.1', 7100)
+BACK = address.Address('127.50.0.1', 7200)
+AGENT = address.Address('127.50.0.2', 7300)
+FABRIC = address.Address('127.50.0.3', 7400)
+SERVICE = address.Address('127.50.0.4', 5000)
+CALLER = address.Address('127.50.0.5', 6000)
+WINDOW = 256
+PAYLOAD = b'x' * 100
+STALL_S = 0.2
+FOREVER_MS = 1 << 50
+KINDS = ('bare', 'balancer')
+
+
+def catalogue_changes(targets):
+    r"""Return the changes that create one service and its targets."""
+    bodies = [
+        model.Service('dispatch', 1, SERVICE, 0, 600_000, (), 1),
+        model.DataCentre('maadi', 1, False, 1),
+    ]
+    bodies.extend(
+        model.Target('dispatch/%d' % number, number, 1, 1, AGENT, 1, 1, 1,
+                     2000, False, False, 1)
+        for number in range(1, targets + 1))
+    return [model.Change(1, body) for body in bodies]
+
+
+def serve(kind, targets):
+    r"""Run the child process until it is killed."""
+    if kind == 'bare':
+        _serve_bare()
+    else:
+        _serve_balancer(targets)
+
+
+def _serve_bare():
+    socket = datagrams.open_datagram_socket(FRONT, _keep).unwrap()
+
+    def pass_on(batch):
+        for _, data in batch:
+            socket.send(AGENT, data)
+
+    socket.read_loop(pass_on)
+
+
+def _keep(source, data):
+    return source, data
+
+
+def _serve_balancer(targets):
+    packets = codec.make_data_path_codec(token.Sealer([KEY]))
+    pipeline, subscribed, _ = balancers.make_pipeline({
+        'node': 'benchmark', 'upstreams': (FABRIC,),
+        'without-control': 'refuse', 'selector': 'two-choices-aged',
+        'opens-per-second': 1_000_000})
+    subscribed.catalogue.apply(catalogue_changes(targets))
+    subscribed.lease_until = clock.now_ms() + FOREVER_MS
+    front = datagrams.open_datagram_socket(
+        FRONT, balancers.make_front_decoder(packets)).unwrap()
+    back = datagrams.open_datagram_socket(
+        BACK, balancers.make_back_decoder(packets)).unwrap()
+    task = tasks.Task(
+        'benchmark', pipeline, timer.TimerQueue(),
+        balancers.make_performers(packets, front, back, _NoLinks()))
+    for socket in (front, back):
+        gevent.spawn(socket.read_loop, task.post)
+    task.run()
+
+
+class _NoLinks:
+    r"""Stands in for control links: the benchmark has no control host."""
+
+    __slots__ = ()
+
+    def send(self, item):
+        r"""Drop the message."""
+
+
+class Measurement:
+    r"""One row: what was sent and what it cost the child."""
+
+    __slots__ = ('kind', 'work', 'flows', 'targets', 'rate', 'cpu_us')
+
+    def __init__(self, kind, work, flows, targets, rate, cpu_us):
+        self.kind = kind
+        self.work = work
+        self.flows = flows
+        self.targets = targets
+        self.rate = rate
+        self.cpu_us = cpu_us
+
+    def row(self):
+        r"""Return the values for a table."""
+        return (self.kind, self.work, self.flows, self.targets,
+                round(self.rate), round(self.cpu_us, 2))
+
+
+def request_datagrams(flows, count):
+    r"""Return encoded requests of many flows, as the fabric sends them."""
+    packets = codec.make_data_path_codec(token.Sealer([KEY]))
+    generator = random.Random(1)
+    datagrams_ = []
+    for _ in range(min(flows, count)):
+        serial = generator.randrange(flows)
+        body = packets.encode(packet.Request(
+            generator.getrandbits(64),
+            token.Token(1, 1, 1, AGENT, 1, serial), 1, True, 5000, 1,
+            PAYLOAD))
+        datagrams_.append(proxy_header.encode(CALLER, SERVICE, body))
+    return datagrams_
+
+
+def open_datagrams(count):
+    r"""Return encoded opens, as the fabric sends them."""
+    packets = codec.make_data_path_codec(token.Sealer([KEY]))
+    generator = random.Random(1)
+    return [
+        proxy_header.encode(CALLER, SERVICE, packets.encode(
+            packet.Open(generator.getrandbits(64))))
+        for _ in range(count)]
+
+
+def measure(kind, work, flows, targets, count):
+    r"""Run one child and return its ``Measurement``."""
+    child = subprocess.Popen([
+        sys.executable, '-m', 'benchmarks.packets', '--serve', kind,
+        '--serve-targets', str(targets)])
+    agent = datagrams.open_datagram_socket(AGENT, _keep).unwrap()
+    fabric = datagrams.open_datagram_socket(FABRIC, _keep).unwrap()
+    try:
+        driver = DRIVERS[work]
+        sample = driver(agent, fabric, flows, count // 10, wait=True)
+        process = psutil.Process(child.pid)
+        before = _cpu_s(process)
+        started = time.monotonic()
+        sample = driver(agent, fabric, flows, count, wait=False)
+        elapsed = time.monotonic() - started
+        cpu = _cpu_s(process) - before
+    finally:
+        child.kill()
+        child.wait()
+        agent.close()
+        fabric.close()
+    return Measurement(
+        kind, work, flows, targets, sample / elapsed, cpu / sample * 1e6)
+
+
+def _cpu_s(process):
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+def _drive_requests(agent, fabric, flows, count, wait):
+    r"""Send requests and count what arrives at the agent's socket."""
+    prepared = request_datagrams(flows, count)
+    sent = received = 0
+    if wait:
+        _wait_for_child(agent, fabric, prepared[0])
+    last = time.monotonic()
+    while received < count and time.monotonic() - last < STALL_S:
+        while sent - received < WINDOW and sent < count:
+            fabric.send(FRONT, prepared[sent % len(prepared)])
+            sent += 1
+        arrived = _drain(agent)
+        received += arrived
+        if arrived:
+            last = time.monotonic()
+    return received
+
+
+def _drive_opens(agent, fabric, flows, count, wait):
+    r"""Send opens, answer them as an agent, count what comes back."""
+    packets = codec.make_data_path_codec(token.Sealer([KEY]))
+    prepared = open_datagrams(count)
+    sent = received = 0
+    if wait:
+        _wait_for_child(agent, fabric, prepared[0])
+    load = packet.Load(1, 0, 0, 1, 3.0)
+    last = time.monotonic()
+    while received < count and time.monotonic() - last < STALL_S:
+        while sent - received < WINDOW and sent < count:
+            fabric.send(FRONT, prepared[sent])
+            sent += 1
+        for data in _drain_data(agent):
+            forwarded = packets.decode(data).unwrap()
+            agent.send(BACK, packets.encode(packet.OpenOutcome(
+                forwarded.attempt, forwarded.target, load,
+                packet.Opened(forwarded.packet.flow_key, token.Token(
+                    1, 1, forwarded.target, AGENT, 1, 1)))))
+        arrived = _drain(fabric)
+        received += arrived
+        if arrived:
+            last = time.monotonic()
+    return received
+
+
+DRIVERS = {'request': _drive_requests, 'open': _drive_opens}
+
+
+def _wait_for_child(agent, fabric, data):
+    r"""Send until the child forwards its first datagram."""
+    deadline = time.monotonic() + 20
+    while time.monotonic() < deadline:
+        fabric.send(FRONT, data)
+        time.sleep(0.05)
+        if _drain(agent):
+            return
+    raise TimeoutError('the child process forwarded nothing for 20 s')
+
+
+def _drain(socket):
+    return len(_drain_data(socket))
+
+
+def _drain_data(socket):
+    data = []
+    while True:
+        try:
+            data.append(socket.socket.recv(datagrams.MAXIMUM_DATAGRAM_BYTES))
+        except BlockingIOError:
+            return data
+
+
+PLAN = (
+    ('bare', 'request', 1000, 10),
+    ('balancer', 'request', 1000, 10),
+    ('balancer', 'request', 30_000, 10),
+    ('balancer', 'request', 300_000, 10),
+    ('balancer', 'request', 1000, 1000),
+    ('balancer', 'open', 1, 10),
+    ('balancer', 'open', 1, 100),
+    ('balancer', 'open', 1, 1000),
+)
+
+
+@click.command()
+@click.option('--serve', 'served', type=click.Choice(KINDS))
+@click.option('--serve-targets', default=10)
+@click.option('--count', default=100_000, help='datagrams for each row')
+@click.option('--output', type=click.Choice(['table', 'json']),
+              default='table')
+def main(served, serve_targets, count, output):
+    r"""Measure one balancer against a bare forwarder."""
+    if served:
+        serve(served, serve_targets)
+        return
+    rows = [
+        measure(kind, work, flows, targets, count).row()
+        for kind, work, flows, targets in PLAN]
+    columns = ('process', 'work', 'flows', 'targets', 'per second',
+               'CPU us each')
+    if output == 'json':
+        click.echo(json.dumps([dict(zip(columns, row)) for row in rows]))
+        return
+    click.echo(tabulate.tabulate(rows, headers=columns))
+    share = rows[1][4] / rows[0][4]
+    click.echo('balancer / bare forwarder: %.0f%%' % (share * 100))
+
+
+if __name__ == '__main__':
+    main()
--- a/poplarstep/core/address.py
+++ b/poplarstep/core/address.py
@@ -1,7 +1,9 @@
 r"""Internet addresses of processes and services."""
 
+import functools
 import ipaddress
 import re
+import struct
 
 from returns import result
 
@@ -9,6 +11,9 @@
 
 MAXIMUM_PORT = 65535
 # int() accepts digits of other scripts and rejects very long numbers.
+LAYOUT = struct.Struct('!4sH')
+# Addresses recur on the packet path; a cached conversion costs a tenth.
+CACHED_ADDRESSES = 16_384
 PORT_PATTERN = re.compile('[0-9]{1,5}')
 
 
@@ -68,3 +73,41 @@
         return result.Failure(
             'address %r has a port outside 1-65535' % text)
     return result.Success(Address(ip, int(port)))
+
+
+@functools.lru_cache(CACHED_ADDRESSES)
+def to_bytes(value):
+    r"""Return an address as four bytes of IPv4 and two of port.
+
+    Examples
+    ========
+
+    >>> to_bytes(Address('127.0.0.1', 80))
+    b'\x7f\x00\x00\x01\x00P'
+
+    """
+    return LAYOUT.pack(ipaddress.IPv4Address(value.ip).packed, value.port)
+
+
+@functools.lru_cache(CACHED_ADDRESSES)
+def from_bytes(data):
+    r"""Return the address of six bytes.
+
+    Raises
+    ======
+
+    ValueError
+        If there are not six bytes.
+
+    Examples
+    ========
+
+    >>> from_bytes(b'\x7f\x00\x00\x01\x00P')
+    Address(ip='127.0.0.1', port=80)
+
+    """
+    if len(data) != LAYOUT.size:
+        raise ValueError('address has %d bytes, not %d' % (
+            len(data), LAYOUT.size))
+    ip, port = LAYOUT.unpack(data)
+    return Address(str(ipaddress.IPv4Address(ip)), port)
--- a/poplarstep/core/record.py
+++ b/poplarstep/core/record.py
@@ -7,6 +7,9 @@
 def field_names(record_class):
     r"""Return the field names of a record class in declaration order.
 
+    A slot with a leading underscore holds something derived and is not a
+    field.
+
     Examples
     ========
 
@@ -19,7 +22,7 @@
     names = []
     for ancestor in reversed(record_class.__mro__):
         names.extend(ancestor.__dict__.get('__slots__', ()))
-    return tuple(names)
+    return tuple(name for name in names if not name.startswith('_'))
 
 
 class Record:
--- a/poplarstep/core/stage.py
+++ b/poplarstep/core/stage.py
@@ -81,17 +81,41 @@
 
     """
 
-    __slots__ = ('steps',)
+    __slots__ = ('steps', 'handled_by_type')
 
     def __init__(self, steps):
         self.steps = tuple(steps)
+        self.handled_by_type = {}
 
     def process(self, message, now):
         r"""Run one message through all stages; return what comes out."""
-        messages = [message]
-        for stage, state in self.steps:
-            produced = []
-            for current in messages:
-                produced.extend(stage.process(state, current, now))
-            messages = produced
-        return messages
+        return self._process_from(0, message, now)
+
+    def _process_from(self, position, message, now):
+        r"""Run a message through the stages from a position on.
+
+        Stages without a handler for the message's type are skipped, which
+        on the packet path costs less than asking each of them.
+        """
+        handled = self.handled_by_type.get(type(message))
+        if handled is None:
+            handled = self._find_handlers(type(message))
+        step = handled[position]
+        if step is None:
+            return [message]
+        following, handler, state = step
+        produced = []
+        for item in handler(state, message, now):
+            produced.extend(self._process_from(following, item, now))
+        return produced
+
+    def _find_handlers(self, message_type):
+        r"""Return, for each position, the next step that has a handler."""
+        handled = [None] * (len(self.steps) + 1)
+        for position in reversed(range(len(self.steps))):
+            stage, state = self.steps[position]
+            handler = stage.handler_by_type.get(message_type)
+            handled[position] = handled[position + 1] if handler is None \
+                else (position + 1, handler, state)
+        self.handled_by_type[message_type] = handled
+        return handled
--- a/poplarstep/edge/codec.py
+++ b/poplarstep/edge/codec.py
@@ -7,15 +7,20 @@
 annotations of ``__init__``, so that a message of the wrong type, length or
 shape is rejected before a decision stage sees it. A message is the array
 ``[kind, field, ...]`` where ``kind`` is the class name.
+
+A packet from or to a caller that stands inside another message is carried
+in its encoded form; a balancer passes it on without encoding it again.
 """
 
 import inspect
+import operator
 import types
 import typing
 
 import msgspec
 from returns import result
 
+from poplarstep.core import address
 from poplarstep.core import record
 from poplarstep.flow import packet
 from poplarstep.flow import token
@@ -25,6 +30,54 @@
 MAXIMUM_MESSAGE_BYTES = 16 * 1024 * 1024
 
 
+class Conversion:
+    r"""How the values of one type travel; None stands for unchanged."""
+
+    __slots__ = ('wire_type', 'to_wire', 'from_wire')
+
+    def __init__(self, wire_type, to_wire=None, from_wire=None):
+        self.wire_type = wire_type
+        self.to_wire = to_wire
+        self.from_wire = from_wire
+
+
+class Plan:
+    r"""How the fields of one record class are read and converted.
+
+    ``to_wire`` and ``from_wire`` hold ``(position, function)`` pairs for
+    the fields that are not carried unchanged.
+    """
+
+    __slots__ = ('record_class', 'struct', 'read', 'to_wire', 'from_wire')
+
+    def __init__(self, record_class, struct, conversion_by_name):
+        self.record_class = record_class
+        self.struct = struct
+        names = tuple(conversion_by_name)
+        self.read = _reader(names)
+        pairs = list(enumerate(conversion_by_name.values()))
+        self.to_wire = tuple(
+            (position, item.to_wire) for position, item in pairs
+            if item.to_wire is not None)
+        self.from_wire = tuple(
+            (position, item.from_wire) for position, item in pairs
+            if item.from_wire is not None)
+
+    def make_struct(self, message):
+        r"""Return the struct of a record."""
+        values = self.read(message)
+        for position, convert in self.to_wire:
+            values[position] = convert(values[position])
+        return self.struct(*values)
+
+    def make_record(self, struct):
+        r"""Return the record of a struct."""
+        values = self.read(struct)
+        for position, convert in self.from_wire:
+            values[position] = convert(values[position])
+        return self.record_class(*values)
+
+
 class Codec:
     r"""Encoder and decoder of a closed set of record classes.
 
@@ -50,126 +103,171 @@
     """
 
     __slots__ = (
-        'sealer', 'struct_by_record', 'record_by_struct', 'plan_by_record',
-        'encoder', 'decoder')
+        'sealer', 'plan_by_record', 'plan_by_struct', 'encoder', 'decoder')
 
     def __init__(self, record_classes, sealer=None):
         self.sealer = sealer
-        self.struct_by_record = {}
-        self.record_by_struct = {}
         self.plan_by_record = {}
-        top_level = [self._struct_for(item) for item in record_classes]
+        self.plan_by_struct = {}
         self.encoder = msgspec.msgpack.Encoder()
-        self.decoder = msgspec.msgpack.Decoder(
-            typing.Union[tuple(top_level)])
+        top_level = tuple(
+            self._plan_for(item).struct for item in record_classes)
+        self.decoder = msgspec.msgpack.Decoder(typing.Union[top_level])
 
     def encode(self, message):
         r"""Return the message as bytes."""
-        return self.encoder.encode(self._to_struct(message))
+        return self.encoder.encode(
+            self.plan_by_record[type(message)].make_struct(message))
 
     def decode(self, data):
         r"""Return ``Success(record)`` or ``Failure(message)``."""
+        read = self.read(data)
+        return read if type(read) is result.Failure else result.Success(read)
+
+    def read(self, data):
+        r"""Return the record itself or ``Failure(message)``.
+
+        The packet path uses it: wrapping each packet in ``Success`` and
+        unwrapping it costs 0.8 us.
+        """
         if len(data) > MAXIMUM_MESSAGE_BYTES:
             return result.Failure(
                 'malformed message: %d bytes exceed %d'
                 % (len(data), MAXIMUM_MESSAGE_BYTES))
         try:
-            return result.Success(self._to_record(self.decoder.decode(data)))
+            struct = self.decoder.decode(data)
+            message = self.plan_by_struct[type(struct)].make_record(struct)
         except (msgspec.DecodeError, RecursionError, ValueError) as error:
             return result.Failure('malformed message: %s' % error)
+        if isinstance(message, packet.CallerPacket):
+            message._wire = data
+        return message
 
-    def _struct_for(self, record_class):
-        known = self.struct_by_record.get(record_class)
+    def _plan_for(self, record_class):
+        known = self.plan_by_record.get(record_class)
         if known is not None:
             return known
-        fields = []
-        plan = []
         hints = typing.get_type_hints(record_class.__init__)
-        for name in inspect.signature(record_class).parameters:
-            wire_type, to_wire, from_wire = self._wire(hints[name])
-            fields.append((name, wire_type))
-            plan.append((name, to_wire, from_wire))
+        conversion_by_name = {
+            name: self._conversion(hints[name])
+            for name in inspect.signature(record_class).parameters}
         struct = msgspec.defstruct(
-            record_class.__name__, fields, array_like=True,
-            tag=record_class.__name__, gc=False)
-        self.struct_by_record[record_class] = struct
-        self.record_by_struct[struct] = record_class
-        self.plan_by_record[record_class] = tuple(plan)
-        return struct
-
-    def _wire(self, hint):
-        r"""Return the wire type and the two conversions of an annotation."""
+            record_class.__name__,
+            [(name, item.wire_type)
+             for name, item in conversion_by_name.items()],
+            array_like=True, tag=record_class.__name__, gc=False)
+        plan = Plan(record_class, struct, conversion_by_name)
+        self.plan_by_record[record_class] = plan
+        self.plan_by_struct[struct] = plan
+        return plan
+
+    def _conversion(self, hint):
+        r"""Return the ``Conversion`` of an annotation."""
         if hint is token.Token:
-            return bytes, self.sealer.seal, self._unseal
+            return Conversion(bytes, self.sealer.seal, self._unseal)
+        if hint is address.Address:
+            return Conversion(bytes, address.to_bytes, address.from_bytes)
         origin = typing.get_origin(hint)
         arguments = typing.get_args(hint)
         if origin in (typing.Union, types.UnionType):
-            return self._wire_union(arguments)
+            return self._union(arguments)
         if origin in (tuple, list):
-            return self._wire_sequence(origin, arguments[0])
+            return self._sequence(origin, arguments[0])
         if origin is dict:
-            return self._wire_dictionary(arguments)
+            return self._dictionary(arguments)
         if inspect.isclass(hint) and issubclass(hint, record.Record):
-            return self._struct_for(hint), self._to_struct, self._to_record
-        return hint, None, None
-
-    def _wire_union(self, arguments):
-        wire_types = tuple(
-            self._wire(argument)[0] for argument in arguments)
-        return typing.Union[wire_types], self._to_struct, self._to_record
-
-    def _wire_sequence(self, origin, item):
-        wire_type, to_wire, from_wire = self._wire(item)
-        if to_wire is None:
-            shape = tuple[wire_type, ...] if origin is tuple \
-                else list[wire_type]
-            return shape, None, None
-        return (
-            list[wire_type],
-            lambda values: [to_wire(value) for value in values],
-            lambda values: origin(from_wire(value) for value in values),
-        )
-
-    def _wire_dictionary(self, arguments):
+            plan = self._plan_for(hint)
+            return Conversion(
+                plan.struct, plan.make_struct, plan.make_record)
+        return Conversion(hint)
+
+    def _union(self, arguments):
+        r"""Convert ``X | None`` and unions of record classes."""
+        present = [item for item in arguments if item is not type(None)]
+        if all(inspect.isclass(item) and issubclass(
+                item, packet.CallerPacket) for item in present):
+            return self._nested_packet(present)
+        if len(present) == 1:
+            return _optional(self._conversion(present[0]))
+        structs = tuple(self._plan_for(item).struct for item in present)
+        return Conversion(
+            typing.Union[structs],
+            lambda value: self.plan_by_record[type(value)].make_struct(
+                value),
+            lambda value: self.plan_by_struct[type(value)].make_record(
+                value))
+
+    def _nested_packet(self, packet_classes):
+        decoder = msgspec.msgpack.Decoder(typing.Union[tuple(
+            self._plan_for(item).struct for item in packet_classes)])
+
+        def to_wire(value):
+            wire = getattr(value, '_wire', None)
+            return msgspec.Raw(self.encode(value) if wire is None else wire)
+
+        def from_wire(raw):
+            struct = decoder.decode(raw)
+            value = self.plan_by_struct[type(struct)].make_record(struct)
+            value._wire = bytes(raw)
+            return value
+
+        return Conversion(msgspec.Raw, to_wire, from_wire)
+
+    def _sequence(self, origin, item):
+        inner = self._conversion(item)
+        if inner.to_wire is None:
+            shape = tuple[inner.wire_type, ...] if origin is tuple \
+                else list[inner.wire_type]
+            return Conversion(shape)
+        return Conversion(
+            list[inner.wire_type],
+            lambda values: [inner.to_wire(value) for value in values],
+            lambda values: origin(
+                inner.from_wire(value) for value in values))
+
+    def _dictionary(self, arguments):
         key_type, value_type = arguments
-        wire_type, to_wire, from_wire = self._wire(value_type)
-        if to_wire is None:
-            return dict[key_type, value_type], None, None
-        return (
-            dict[key_type, wire_type],
+        inner = self._conversion(value_type)
+        shape = dict[key_type, inner.wire_type]
+        if inner.to_wire is None:
+            return Conversion(shape)
+        return Conversion(
+            shape,
             lambda values: {
-                key: to_wire(value) for key, value in values.items()},
+                key: inner.to_wire(value)
+                for key, value in values.items()},
             lambda values: {
-                key: from_wire(value) for key, value in values.items()},
-        )
-
-    def _to_struct(self, message):
-        plan = self.plan_by_record.get(type(message))
-        if plan is None:
-            return message
-        return self.struct_by_record[type(message)](*[
-            getattr(message, name) if to_wire is None
-            else to_wire(getattr(message, name))
-            for name, to_wire, _ in plan
-        ])
-
-    def _to_record(self, struct):
-        record_class = self.record_by_struct.get(type(struct))
-        if record_class is None:
-            return struct
-        return record_class(*[
-            getattr(struct, name) if from_wire is None
-            else from_wire(getattr(struct, name))
-            for name, _, from_wire in self.plan_by_record[record_class]
-        ])
+                key: inner.from_wire(value)
+                for key, value in values.items()})
 
     def _unseal(self, sealed):
         outcome = self.sealer.unseal(sealed)
-        if isinstance(outcome, result.Failure):
+        if type(outcome) is result.Failure:
             raise ValueError(outcome.failure())
         return outcome.unwrap()
 
 
+def _reader(names):
+    r"""Return a function that lists the named attributes of an object."""
+    if not names:
+        return lambda item: []
+    if len(names) == 1:
+        return lambda item: [getattr(item, names[0])]
+    read = operator.attrgetter(*names)
+    return lambda item: list(read(item))
+
+
+def _optional(inner):
+    r"""Return the conversion of ``X | None``."""
+    wire_type = typing.Optional[inner.wire_type]
+    if inner.to_wire is None:
+        return Conversion(wire_type)
+    return Conversion(
+        wire_type,
+        lambda value: None if value is None else inner.to_wire(value),
+        lambda value: None if value is None else inner.from_wire(value))
+
+
 def make_data_path_codec(sealer):
     r"""Return the codec of the messages between balancers and agents."""
     return Codec(
--- a/poplarstep/edge/datagrams.py
+++ b/poplarstep/edge/datagrams.py
@@ -42,7 +42,7 @@
     bound : Address
         Local address.
     decode : callable
-        Takes ``(source pair, bytes)`` and returns ``Success(message)`` or
+        Takes ``(source pair, bytes)`` and returns the message itself or
         ``Failure(reason)``.
     """
 
@@ -86,10 +86,10 @@
                 continue
             self.counters.received += 1
             decoded = self.decode(source, data)
-            if isinstance(decoded, result.Success):
-                batch.append(decoded.unwrap())
-            else:
+            if type(decoded) is result.Failure:
                 self.counters.malformed += 1
+            else:
+                batch.append(decoded)
         return batch
 
 
--- a/poplarstep/edge/proxy_header.py
+++ b/poplarstep/edge/proxy_header.py
@@ -14,7 +14,6 @@
 
 """
 
-import socket
 import struct
 
 from returns import result
@@ -25,7 +24,9 @@
 VERSION_AND_COMMAND = 0x21
 IPV4_DATAGRAM = 0x12
 IPV4_ADDRESSES_BYTES = 12
-LAYOUT = struct.Struct('!12sBBH4s4sHH')
+# Signature, version and command, family, length, source and destination
+# IPv4, source and destination port.
+LAYOUT = struct.Struct('!12sBBH4s4s2s2s')
 PREFIX = SIGNATURE + bytes([VERSION_AND_COMMAND, IPV4_DATAGRAM])
 
 
@@ -44,10 +45,11 @@
     'datagram has no PROXY version 2 header for IPv4 datagrams'
 
     """
+    from_bytes = address.to_bytes(source)
+    to_bytes = address.to_bytes(destination)
     return LAYOUT.pack(
         SIGNATURE, VERSION_AND_COMMAND, IPV4_DATAGRAM, IPV4_ADDRESSES_BYTES,
-        socket.inet_aton(source.ip), socket.inet_aton(destination.ip),
-        source.port, destination.port,
+        from_bytes[:4], to_bytes[:4], from_bytes[4:], to_bytes[4:],
     ) + body
 
 
@@ -56,6 +58,18 @@
 
     Additional type-length-value fields after the addresses are skipped.
     """
+    read_header = read(data)
+    if type(read_header) is result.Failure:
+        return read_header
+    return result.Success(read_header)
+
+
+def read(data):
+    r"""Return ``(source, destination, body)`` itself or ``Failure``.
+
+    The packet path uses it, because wrapping each datagram in ``Success``
+    costs 0.8 us.
+    """
     if len(data) < LAYOUT.size or not data.startswith(PREFIX):
         return result.Failure(
             'datagram has no PROXY version 2 header for IPv4 datagrams')
@@ -65,8 +79,8 @@
     if length < IPV4_ADDRESSES_BYTES or body_start > len(data):
         return result.Failure(
             'PROXY header declares %d address bytes' % length)
-    return result.Success((
-        address.Address(socket.inet_ntoa(source_ip), source_port),
-        address.Address(socket.inet_ntoa(destination_ip), destination_port),
+    return (
+        address.from_bytes(source_ip + source_port),
+        address.from_bytes(destination_ip + destination_port),
         data[body_start:],
-    ))
+    )
--- a/poplarstep/flow/packet.py
+++ b/poplarstep/flow/packet.py
@@ -18,7 +18,17 @@
 MAXIMUM_PARTS = 64
 
 
-class Open(record.Record):
+class CallerPacket(record.Record):
+    r"""Packet from or to a caller.
+
+    ``_wire`` keeps the encoded form in which the packet arrived, so that a
+    balancer passes it on without encoding it again.
+    """
+
+    __slots__ = ('_wire',)
+
+
+class Open(CallerPacket):
     r"""Open a flow; runs nothing at the target.
 
     ``flow_key`` is a random 64-bit number that the caller chooses; it
@@ -31,7 +41,7 @@
         self.flow_key = flow_key
 
 
-class Request(record.Record):
+class Request(CallerPacket):
     r"""One request on a flow; ``(token, number)`` is its identity.
 
     Parameters
@@ -64,7 +74,7 @@
         self.payload = payload
 
 
-class Cancel(record.Record):
+class Cancel(CallerPacket):
     r"""The caller no longer wants an answer to a request."""
 
     __slots__ = ('flow_key', 'token', 'number')
@@ -75,7 +85,7 @@
         self.number = number
 
 
-class Close(record.Record):
+class Close(CallerPacket):
     r"""End a flow."""
 
     __slots__ = ('flow_key', 'token')
@@ -85,7 +95,7 @@
         self.token = token
 
 
-class Opened(record.Record):
+class Opened(CallerPacket):
     r"""The flow is open; later packets carry the token."""
 
     __slots__ = ('flow_key', 'token')
@@ -95,7 +105,7 @@
         self.token = token
 
 
-class Answer(record.Record):
+class Answer(CallerPacket):
     r"""One part of the answer to a request.
 
     ``part`` counts from 0 to ``parts - 1``; the caller joins the payloads.
@@ -113,7 +123,7 @@
         self.payload = payload
 
 
-class Refused(record.Record):
+class Refused(CallerPacket):
     r"""A packet was refused; ``number`` is 0 for an ``Open``.
 
     Parameters
--- a/poplarstep/flow/token.py
+++ b/poplarstep/flow/token.py
@@ -20,7 +20,6 @@
 """
 
 import hashlib
-import ipaddress
 import struct
 
 from returns import result
@@ -30,8 +29,8 @@
 
 FORMAT_VERSION = 1
 TAG_BYTES = 8
-# Version, service, data centre, target, IPv4, port, incarnation, serial.
-LAYOUT = struct.Struct('!BHHIIHQQ')
+# Version, service, data centre, target, agent, incarnation, serial.
+LAYOUT = struct.Struct('!BHHI6sQQ')
 SEALED_BYTES = LAYOUT.size + TAG_BYTES
 
 
@@ -81,11 +80,10 @@
 
     """
 
-    __slots__ = ('keys', 'text_by_ip')
+    __slots__ = ('keys',)
 
     def __init__(self, keys):
         self.keys = tuple(keys)
-        self.text_by_ip = {}
 
     def seal(self, token):
         r"""Return the token as ``SEALED_BYTES`` bytes."""
@@ -94,8 +92,7 @@
             token.service,
             token.data_centre,
             token.target,
-            int(ipaddress.IPv4Address(token.agent.ip)),
-            token.agent.port,
+            address.to_bytes(token.agent),
             token.incarnation,
             token.serial,
         )
@@ -108,24 +105,18 @@
                 'token has %d bytes, not %d' % (len(sealed), SEALED_BYTES))
         body = sealed[:LAYOUT.size]
         tag = sealed[LAYOUT.size:]
-        if not any(_tag(key, body) == tag for key in self.keys):
+        for key in self.keys:
+            if _tag(key, body) == tag:
+                break
+        else:
             return result.Failure('token has a wrong tag')
-        (version, service, data_centre, target, ip, port, incarnation,
+        (version, service, data_centre, target, agent, incarnation,
          serial) = LAYOUT.unpack(body)
         if version != FORMAT_VERSION:
             return result.Failure('token has unknown version %d' % version)
         return result.Success(Token(
-            service, data_centre, target,
-            address.Address(self._ip_text(ip), port), incarnation, serial))
-
-    def _ip_text(self, ip):
-        # Formatting an IPv4Address costs more than the tag; the number of
-        # agent addresses is bounded because only sealed tokens reach here.
-        text = self.text_by_ip.get(ip)
-        if text is None:
-            text = str(ipaddress.IPv4Address(ip))
-            self.text_by_ip[ip] = text
-        return text
+            service, data_centre, target, address.from_bytes(agent),
+            incarnation, serial))
 
 
 def _tag(key, body):
--- a/poplarstep/programs/agent.py
+++ b/poplarstep/programs/agent.py
@@ -83,17 +83,16 @@
 def make_decoder(packets):
     r"""Return the decoder of datagrams from balancers."""
     def decode(source, data):
-        return packets.decode(data).bind(lambda item: _arrival(source, item))
+        item = packets.read(data)
+        if type(item) is result.Failure:
+            return item
+        if type(item) is not packet.Forwarded:
+            return result.Failure(
+                '%s is not expected on this socket' % type(item).__name__)
+        return message.Arrival(address.Address(*source), item)
     return decode
 
 
-def _arrival(source, item):
-    if type(item) is not packet.Forwarded:
-        return result.Failure(
-            '%s does not come from balancers' % type(item).__name__)
-    return result.Success(message.Arrival(address.Address(*source), item))
-
-
 def make_performers(packets, front, links, client):
     r"""Return the functions that carry out an agent's effects."""
     def send_packet(item):
--- a/poplarstep/programs/balancer.py
+++ b/poplarstep/programs/balancer.py
@@ -1,5 +1,6 @@
 r"""Builds a balancer: sockets, codecs and the pipeline of its stages."""
 
+import functools
 import random
 
 from returns import result
@@ -24,6 +25,8 @@
 from poplarstep.routing import selectors
 from poplarstep.routing import state as states
 
+CACHED_SOURCES = 1024
+
 
 def build(settings):
     r"""Return ``Success(Node)`` of a running balancer or ``Failure``."""
@@ -96,35 +99,36 @@
 def make_front_decoder(packets):
     r"""Return the decoder of datagrams from the fabric."""
     def decode(source, data):
-        framed = proxy_header.decode(data)
-        if isinstance(framed, result.Failure):
+        framed = proxy_header.read(data)
+        if type(framed) is result.Failure:
             return framed
-        caller, service, body = framed.unwrap()
-        return packets.decode(body).bind(lambda item: _ingress(
-            source, caller, service, item))
+        caller, service, body = framed
+        item = packets.read(body)
+        if type(item) not in packet.FROM_CALLER:
+            return _misplaced(item)
+        return packet.Ingress(packet.ReturnPath(
+            fabric(source), caller, service), item)
+
+    fabric = functools.lru_cache(CACHED_SOURCES)(
+        lambda source: address.Address(*source))
     return decode
 
 
-def _ingress(source, caller, service, item):
-    if type(item) not in packet.FROM_CALLER:
-        return result.Failure(
-            '%s does not come from callers' % type(item).__name__)
-    return result.Success(packet.Ingress(packet.ReturnPath(
-        address.Address(*source), caller, service), item))
-
-
 def make_back_decoder(packets):
     r"""Return the decoder of datagrams from agents."""
     def decode(source, data):
-        return packets.decode(data).bind(_outcome)
+        item = packets.read(data)
+        if type(item) is not packet.OpenOutcome:
+            return _misplaced(item)
+        return opening.OutcomeArrived(item)
     return decode
 
 
-def _outcome(item):
-    if type(item) is not packet.OpenOutcome:
-        return result.Failure(
-            '%s does not come from agents' % type(item).__name__)
-    return result.Success(opening.OutcomeArrived(item))
+def _misplaced(item):
+    if type(item) is result.Failure:
+        return item
+    return result.Failure(
+        '%s is not expected on this socket' % type(item).__name__)
 
 
 def make_performers(packets, front, back, links):
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -51,7 +51,7 @@
         self.random = random.Random(seed)
         self.socket = datagrams.open_datagram_socket(
             bound or address.Address('127.0.0.1', 0),
-            lambda source, data: self.packets.decode(data)).unwrap()
+            lambda source, data: self.packets.read(data)).unwrap()
         timers = timer.TimerQueue()
         timers.subscribe(
             exchange.TICK, exchange.TICK_PERIOD_MS, clock.now_ms())
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -34,7 +34,7 @@
     def serve(self, service):
         r"""Open a service address and start its reader."""
         opened = datagrams.open_datagram_socket(
-            service, lambda source, data: result.Success((source, data)))
+            service, lambda source, data: (source, data))
         socket = opened.unwrap()
         self.sockets.append(socket)
         gevent.spawn(socket.read_loop, lambda batch: self._pass_on(
