Keep the wire form of an address with the address

Cause: hashing addresses for the conversion cache took 1.5 us per packet. Change: the six bytes are kept in a slot; unsealing returns the token itself.

--- a/poplarstep/core/address.py
+++ b/poplarstep/core/address.py
@@ -28,7 +28,7 @@
 
     """
 
-    __slots__ = ('ip', 'port')
+    __slots__ = ('ip', 'port', '_wire')
 
     def __init__(self, ip: str, port: int):
         self.ip = ip
@@ -75,10 +75,11 @@
     return result.Success(Address(ip, int(port)))
 
 
-@functools.lru_cache(CACHED_ADDRESSES)
 def to_bytes(value):
     r"""Return an address as four bytes of IPv4 and two of port.
 
+    The bytes are kept with the address; it is not changed after that.
+
     Examples
     ========
 
@@ -86,7 +87,12 @@
     b'\x7f\x00\x00\x01\x00P'
 
     """
-    return LAYOUT.pack(ipaddress.IPv4Address(value.ip).packed, value.port)
+    wire = getattr(value, '_wire', None)
+    if wire is None:
+        wire = LAYOUT.pack(
+            ipaddress.IPv4Address(value.ip).packed, value.port)
+        value._wire = wire
+    return wire
 
 
 @functools.lru_cache(CACHED_ADDRESSES)
@@ -110,4 +116,6 @@
         raise ValueError('address has %d bytes, not %d' % (
             len(data), LAYOUT.size))
     ip, port = LAYOUT.unpack(data)
-    return Address(str(ipaddress.IPv4Address(ip)), port)
+    value = Address(str(ipaddress.IPv4Address(ip)), port)
+    value._wire = data
+    return value
--- a/poplarstep/edge/codec.py
+++ b/poplarstep/edge/codec.py
@@ -244,7 +244,7 @@
         outcome = self.sealer.unseal(sealed)
         if type(outcome) is result.Failure:
             raise ValueError(outcome.failure())
-        return outcome.unwrap()
+        return outcome
 
 
 def _reader(names):
--- a/poplarstep/flow/token.py
+++ b/poplarstep/flow/token.py
@@ -73,7 +73,7 @@
     >>> sealer = Sealer([b'new key', b'old key'])
     >>> token = Token(1, 2, 3, address.Address('127.0.0.1', 9), 4, 5)
     >>> sealed = Sealer([b'old key']).seal(token)
-    >>> sealer.unseal(sealed).unwrap() == token
+    >>> sealer.unseal(sealed) == token
     True
     >>> sealer.unseal(sealed[:-1] + b'x').failure()
     'token has a wrong tag'
@@ -99,7 +99,10 @@
         return body + _tag(self.keys[0], body)
 
     def unseal(self, sealed):
-        r"""Return ``Success(Token)`` or ``Failure(message)``."""
+        r"""Return the ``Token`` itself or ``Failure(message)``.
+
+        ``Success`` is left out because this runs once for each packet.
+        """
         if len(sealed) != SEALED_BYTES:
             return result.Failure(
                 'token has %d bytes, not %d' % (len(sealed), SEALED_BYTES))
@@ -114,9 +117,9 @@
          serial) = LAYOUT.unpack(body)
         if version != FORMAT_VERSION:
             return result.Failure('token has unknown version %d' % version)
-        return result.Success(Token(
+        return Token(
             service, data_centre, target, address.from_bytes(agent),
-            incarnation, serial))
+            incarnation, serial)
 
 
 def _tag(key, body):
@@ -134,7 +137,7 @@
 
     def unseal(self, sealed):
         r"""Return the sealed token unchanged."""
-        return result.Success(sealed)
+        return sealed
 
 
 OPAQUE = OpaqueTokens()
