Measure the spread of the selectors

Cause: the goal of the design, max/mean of utilisation at most 1.10 with reports up to 5 s old, needs a measurement. Change: event model with 3 balancers and 7 targets, 2 of them four times slower, long flows with requests, reports 0, 1 and 5 s old, one frozen; also a lying target, 300 balancers, and 1 fast target of 7.

--- /dev/null
+++ b/benchmarks/spread.py
@@ -0,0 +1,108 @@
+r"""Measure how evenly the selectors load targets of unequal speed.
+
+Explanation
+===========
+
+Utilisation of a target is the work that its open flows offer, divided by
+its capacity. It is sampled every second after the warm-up. ``max/mean`` is
+the mean over the samples of the highest utilisation divided by the mean of
+all targets; ``p99/mean`` is the 99th percentile over all targets and
+samples; ``slow/mean`` is the mean utilisation of the slowest targets;
+``busy`` is max/mean of the measured busy time of the whole run.
+"""
+
+from concurrent import futures
+import json
+import statistics
+
+import click
+import tabulate
+
+from benchmarks import spread_model
+from poplarstep.routing import selectors
+
+SPEEDS = (1.0,) * 5 + (0.25,) * 2
+ONE_FAST = (1.0,) + (0.25,) * 6
+FLOWS = 4800
+COLUMNS = (
+    'scenario', 'selector', 'max/mean', 'p99/mean', 'slow/mean', 'busy',
+    'refused')
+SCENARIOS = (
+    spread_model.Scenario('delay 0 s', 3, SPEEDS, 0, 'none', FLOWS),
+    spread_model.Scenario('delay 1 s', 3, SPEEDS, 1000, 'none', FLOWS),
+    spread_model.Scenario('delay 5 s', 3, SPEEDS, 5000, 'none', FLOWS),
+    spread_model.Scenario('frozen', 3, SPEEDS, 5000, 'frozen', FLOWS),
+    spread_model.Scenario('lying', 3, SPEEDS, 5000, 'lying', FLOWS),
+    spread_model.Scenario(
+        '300 balancers', 300, SPEEDS, 5000, 'none', FLOWS),
+    spread_model.Scenario('1 of 7 fast', 3, ONE_FAST, 5000, 'none', 2200),
+)
+
+
+def measure(scenario, selector_name, seed, warm_up_s, seconds):
+    r"""Return one row of figures."""
+    model = spread_model.Model(
+        scenario, selector_name, seed, warm_up_s * 1000)
+    model.run((warm_up_s + seconds) * 1000)
+    relative = []
+    for sample in model.samples:
+        mean = statistics.fmean(sample)
+        relative.append([utilisation / mean for utilisation in sample])
+    slowest = min(scenario.speeds)
+    slow = [
+        value for sample in relative
+        for value, speed in zip(sample, scenario.speeds) if speed == slowest]
+    busy = [target.busy_ms / target.slots for target in model.targets]
+    values = [value for sample in relative for value in sample]
+    return (
+        scenario.name,
+        selector_name,
+        statistics.fmean(max(sample) for sample in relative),
+        statistics.quantiles(values, n=100)[98],
+        statistics.fmean(slow),
+        max(busy) / statistics.fmean(busy),
+        model.refused,
+    )
+
+
+def measure_all(names, scenarios, seed, warm_up_s, seconds, jobs):
+    r"""Return the rows of all scenarios and selectors, in order."""
+    with futures.ProcessPoolExecutor(max_workers=jobs) as pool:
+        pending = [
+            pool.submit(measure, scenario, name, seed, warm_up_s, seconds)
+            for scenario in scenarios for name in names]
+        return [entry.result() for entry in pending]
+
+
+@click.command()
+@click.option('--selector', 'names', multiple=True,
+              type=click.Choice(selectors.SELECTORS.names()),
+              help='Measure only this selector; may be repeated.')
+@click.option('--scenario', 'chosen', multiple=True,
+              type=click.Choice([entry.name for entry in SCENARIOS]),
+              help='Measure only this scenario; may be repeated.')
+@click.option('--seed', default=1, show_default=True)
+@click.option('--warm-up', 'warm_up_s', default=400, show_default=True,
+              help='Seconds of model time before the first sample.')
+@click.option('--seconds', default=400, show_default=True,
+              help='Seconds of model time that are sampled.')
+@click.option('--jobs', default=4, show_default=True,
+              help='Processes that measure at the same time.')
+@click.option('--output', type=click.Choice(['table', 'json']),
+              default='table', show_default=True)
+def main(names, chosen, seed, warm_up_s, seconds, jobs, output):
+    r"""Measure utilisation relative to capacity for each selector."""
+    scenarios = [
+        entry for entry in SCENARIOS if not chosen or entry.name in chosen]
+    rows = measure_all(
+        names or selectors.SELECTORS.names(), scenarios, seed, warm_up_s,
+        seconds, jobs)
+    if output == 'json':
+        click.echo(json.dumps(
+            [dict(zip(COLUMNS, row)) for row in rows], indent=2))
+    else:
+        click.echo(tabulate.tabulate(rows, COLUMNS, floatfmt='.3f'))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/benchmarks/spread_model.py
@@ -0,0 +1,207 @@
+r"""Event model of balancers that open long flows at unequal targets.
+
+Explanation
+===========
+
+Flows arrive at random balancers and last an exponential time; each sends
+requests at random times to its target, which serves them with ``SLOTS``
+slots. The answer to an open carries the target's load as it was some time
+ago. Times are milliseconds of model time.
+"""
+
+import collections
+import heapq
+import random
+import statistics
+
+from poplarstep.flow import packet
+from poplarstep.routing import selectors
+
+SLOTS = 2
+FAST_SERVICE_MS = 5.0
+MEAN_UTILISATION = 0.6
+FLOW_LIFE_MS = 120_000
+ANSWER_MS = 2
+REPORT_PERIOD_MS = 250
+SAMPLE_PERIOD_MS = 1000
+LATENCIES = 31
+FROZEN_FROM_MS = 10_000
+
+ARRIVE, LEAVE, REQUEST, DONE, ANSWERED, REPORT, SAMPLE = range(7)
+
+
+class Scenario:
+    r"""One row of the measurement.
+
+    Parameters
+    ==========
+
+    speeds : tuple of float
+        Speed of each target; 1 serves a request in 5 ms on average.
+    delay_ms : int
+        Age of a report when the balancer receives it.
+    fault : str
+        ``none``; ``frozen``: target 0 repeats the report that it made after
+        10 s; ``lying``: target 0 reports no flows and four times its speed.
+    flows : int
+        Mean number of open flows.
+    """
+
+    __slots__ = ('name', 'balancers', 'speeds', 'delay_ms', 'fault', 'flows')
+
+    def __init__(self, name, balancers, speeds, delay_ms, fault, flows):
+        self.name = name
+        self.balancers = balancers
+        self.speeds = speeds
+        self.delay_ms = delay_ms
+        self.fault = fault
+        self.flows = flows
+
+
+class Target:
+    r"""A target with its slots, waiting requests and past reports."""
+
+    __slots__ = (
+        'number', 'slots', 'connections', 'service_ms', 'flows',
+        'in_flight', 'waiting', 'latencies', 'reports', 'busy_ms')
+
+    def __init__(self, number, speed):
+        self.number = number
+        self.slots = SLOTS
+        self.connections = 1 << 20
+        self.service_ms = FAST_SERVICE_MS / speed
+        self.flows = 0
+        self.in_flight = 0
+        self.waiting = 0
+        self.latencies = collections.deque(maxlen=LATENCIES)
+        self.reports = collections.deque()
+        self.busy_ms = 0.0
+
+    def load(self):
+        r"""Return the load at this moment."""
+        latency_ms = 0.0
+        if self.latencies:
+            latency_ms = statistics.median(self.latencies)
+        return packet.Load(
+            self.slots, self.in_flight, self.waiting, self.flows, latency_ms)
+
+
+class Model:
+    r"""State of one run; ``run`` returns the samples of utilisation."""
+
+    __slots__ = (
+        'scenario', 'random', 'events', 'sequence', 'targets', 'selectors',
+        'gap_ms', 'pause_ms', 'samples', 'refused', 'warm_up_ms',
+        'handler_by_kind')
+
+    def __init__(self, scenario, selector_name, seed, warm_up_ms):
+        self.scenario = scenario
+        self.random = random.Random(seed)
+        self.events = []
+        self.sequence = 0
+        self.targets = [
+            Target(number, speed)
+            for number, speed in enumerate(scenario.speeds)]
+        self.selectors = [
+            selectors.make_selector(
+                selector_name, random.Random(seed * 1000 + number))
+            for number in range(scenario.balancers)]
+        rate_per_ms = MEAN_UTILISATION * SLOTS * sum(
+            scenario.speeds) / FAST_SERVICE_MS
+        self.gap_ms = FLOW_LIFE_MS / scenario.flows
+        self.pause_ms = scenario.flows / rate_per_ms
+        self.samples = []
+        self.refused = 0
+        self.warm_up_ms = warm_up_ms
+        self.handler_by_kind = (
+            self._arrive, self._leave, self._request, self._done,
+            self._answered, self._report, self._sample)
+
+    def run(self, end_ms):
+        r"""Advance the model to ``end_ms``."""
+        self._schedule(0, ARRIVE, None)
+        self._schedule(0, REPORT, None)
+        self._schedule(self.warm_up_ms, SAMPLE, None)
+        while self.events[0][0] <= end_ms:
+            now, _, kind, data = heapq.heappop(self.events)
+            self.handler_by_kind[kind](now, data)
+
+    def _schedule(self, at, kind, data):
+        self.sequence += 1
+        heapq.heappush(self.events, (at, self.sequence, kind, data))
+
+    def _arrive(self, now, _):
+        self._schedule(
+            now + self.random.expovariate(1 / self.gap_ms), ARRIVE, None)
+        selector = self.random.choice(self.selectors)
+        number = selector.select(self.targets, int(now))
+        if number is None:
+            self.refused += 1
+            return
+        selector.sent(number, int(now))
+        target = self.targets[number]
+        target.flows += 1
+        end = now + self.random.expovariate(1 / FLOW_LIFE_MS)
+        self._schedule(end, LEAVE, target)
+        self._schedule(now + ANSWER_MS, ANSWERED, (selector, target))
+        self._next_request(now, target, end)
+
+    def _next_request(self, now, target, end):
+        at = now + self.random.expovariate(1 / self.pause_ms)
+        if at < end:
+            self._schedule(at, REQUEST, (target, end))
+
+    def _leave(self, now, target):
+        target.flows -= 1
+
+    def _request(self, now, data):
+        target, end = data
+        self._next_request(now, target, end)
+        if target.in_flight < target.slots:
+            self._serve(now, target)
+        else:
+            target.waiting += 1
+
+    def _serve(self, now, target):
+        target.in_flight += 1
+        service_ms = target.service_ms * self.random.uniform(0.5, 1.5)
+        self._schedule(now + service_ms, DONE, (target, service_ms))
+
+    def _done(self, now, data):
+        target, service_ms = data
+        target.in_flight -= 1
+        target.latencies.append(service_ms)
+        if now >= self.warm_up_ms:
+            target.busy_ms += service_ms
+        if target.waiting:
+            target.waiting -= 1
+            self._serve(now, target)
+
+    def _answered(self, now, data):
+        selector, target = data
+        selector.answered(target.number, self._seen_load(target), int(now))
+
+    def _seen_load(self, target):
+        if target.number == 0 and self.scenario.fault == 'lying':
+            truth = target.load()
+            return truth.replace(flows=0, latency_ms=truth.latency_ms / 4)
+        if self.scenario.delay_ms and target.reports:
+            return target.reports[0]
+        return target.load()
+
+    def _report(self, now, _):
+        self._schedule(now + REPORT_PERIOD_MS, REPORT, None)
+        kept = 1 + self.scenario.delay_ms // REPORT_PERIOD_MS
+        for target in self.targets:
+            if (target.number == 0 and self.scenario.fault == 'frozen'
+                    and now >= FROZEN_FROM_MS):
+                continue
+            target.reports.append(target.load())
+            if len(target.reports) > kept:
+                target.reports.popleft()
+
+    def _sample(self, now, _):
+        self._schedule(now + SAMPLE_PERIOD_MS, SAMPLE, None)
+        self.samples.append([
+            target.flows * target.service_ms / target.slots / self.pause_ms
+            for target in self.targets])
