Measure cold starts with and without the ramp

Change: event model of a target that fails above what it bears, restarted without warning under the load of 3 balancers; targets of 1, 2 and 16 slots that warm up in 3 s, 10 s or 100 requests. The model target now bears a little more than it announces.

--- /dev/null
+++ b/benchmarks/cold_start.py
@@ -0,0 +1,324 @@
+r"""Measure cold starts of one target under load, with and without the ramp.
+
+Explanation
+===========
+
+The model target bears 30% of its slots when it starts and its full
+load after it has been up for a while or has served enough requests. Its
+load is the time of the requests that it completed in the last half second
+and of those that run, as a share of its slots; when that
+exceeds what it bears, it fails: requests in flight are lost and connections
+are refused for one second. Cold requests take up to twice as long, and
+longer when the load is near what the target bears. An agent with a queue in
+front of it receives regular requests from three balancers at 80% of the
+full rate. After ten seconds the target restarts without warning, either
+breaking the requests in flight or, in the rows ``silent``, completing them,
+so that the agent learns nothing. The announced cold limit is a quarter of
+the slots, at least 1; a target with 1 or 2 slots bears less than that.
+
+``failures`` counts failures of the target after that restart, ``lost``
+requests that were in flight at a failure, ``refused`` requests that were
+not run, and ``full rate`` the seconds until three seconds in a row reach
+95% of the offered rate.
+"""
+
+import collections
+import heapq
+import json
+import random
+
+import click
+import tabulate
+
+from poplarstep.limits import queue
+from poplarstep.limits import ramp
+
+BALANCERS = 3
+SERVICE_MS = 20.0
+OFFERED_LOAD = 0.8
+COLD_SHARE = 0.3
+ANNOUNCED_SHARE = 0.25
+COLD_SLOWNESS = 2.0
+LOAD_SPAN_MS = 500
+DOWN_MS = 1000
+DEADLINE_MS = 1000
+CAPACITY = 200
+RESTART_MS = 10_000
+END_S = 70
+RECOVERED_SHARE = 0.95
+STEADY_S = 3
+
+ARRIVE, DONE, WAKE, RESTART = range(4)
+
+
+class Fixed:
+    r"""Always allows all slots; the baseline without a ramp."""
+
+    __slots__ = ('slots', 'in_flight')
+
+    def __init__(self, slots):
+        self.slots = slots
+        self.in_flight = 0
+
+    def may_start(self, now):
+        r"""Return whether a slot is free."""
+        return self.in_flight < self.slots
+
+    def next_start(self):
+        r"""Return 0: there is no pacing."""
+        return 0
+
+    def started(self, now):
+        r"""Count a request."""
+        self.in_flight += 1
+
+    def finished(self, now, latency_ms, succeeded):
+        r"""Free a slot."""
+        self.in_flight -= 1
+
+    def reset_cold(self):
+        r"""Ignore the restart."""
+
+
+class Target:
+    r"""The model target; times in ms."""
+
+    __slots__ = (
+        'slots', 'warm_ms', 'warm_requests', 'random', 'up_at', 'served',
+        'running', 'busy', 'busy_ms', 'failures')
+
+    def __init__(self, slots, warm_ms, warm_requests, source):
+        self.slots = slots
+        self.warm_ms = warm_ms
+        self.warm_requests = warm_requests
+        self.random = source
+        self.up_at = -100_000
+        self.served = 100_000
+        self.running = {}
+        self.busy = collections.deque()
+        self.busy_ms = 0.0
+        self.failures = 0
+
+    def warmth(self, now):
+        r"""Return 0 for a cold target to 1 for a warm one."""
+        if self.warm_requests:
+            return min(1.0, self.served / self.warm_requests)
+        return min(1.0, (now - self.up_at) / self.warm_ms)
+
+    def bears(self, now):
+        r"""Return the share of its slots that the target bears."""
+        return COLD_SHARE + (1 - COLD_SHARE) * self.warmth(now)
+
+    def load(self, now):
+        r"""Return the busy share of the slots over the last half second."""
+        start = now - LOAD_SPAN_MS
+        while self.busy and self.busy[0][1] <= start:
+            begin, end = self.busy.popleft()
+            self.busy_ms -= end - begin
+        running_ms = sum(
+            now - max(begin, start) for begin in self.running.values())
+        return (self.busy_ms + running_ms) / LOAD_SPAN_MS / self.slots
+
+    def complete(self, began, now):
+        r"""End a request that was running."""
+        self.busy.append((began, now))
+        self.busy_ms += now - began
+        self.served += 1
+
+    def service_ms(self, now):
+        r"""Return the time that a request takes if it starts now."""
+        warmth = self.warmth(now)
+        slowness = COLD_SLOWNESS - (COLD_SLOWNESS - 1) * warmth
+        strain = max(0.0, self.load(now) / self.bears(now) - 0.8)
+        if warmth == 1:
+            strain = 0.0
+        return (
+            SERVICE_MS * slowness * (1 + 5 * strain)
+            * self.random.uniform(0.5, 1.5))
+
+    def restart(self, up_at):
+        r"""Be cold from ``up_at`` on."""
+        self.up_at = up_at
+        self.served = 0
+        self.busy.clear()
+        self.busy_ms = 0.0
+
+
+class Model:
+    r"""One target with its agent under the load of the balancers."""
+
+    __slots__ = (
+        'random', 'events', 'sequence', 'target', 'ramp', 'queue', 'gap_ms',
+        'silent', 'wake_at', 'next_call', 'good', 'refused', 'lost')
+
+    def __init__(self, target, limit, silent, source):
+        self.random = source
+        self.events = []
+        self.sequence = 0
+        self.target = target
+        self.ramp = limit
+        self.queue = queue.make_queue(CAPACITY)
+        self.gap_ms = BALANCERS * SERVICE_MS / OFFERED_LOAD / target.slots
+        self.silent = silent
+        self.wake_at = None
+        self.next_call = 0
+        self.good = [0] * END_S
+        self.refused = 0
+        self.lost = 0
+
+    def run(self):
+        r"""Run the model to its end."""
+        for balancer in range(BALANCERS):
+            self._schedule(
+                balancer * self.gap_ms / BALANCERS, ARRIVE, None)
+        self._schedule(RESTART_MS, RESTART, None)
+        handler_by_kind = (
+            self._arrive, self._done, self._wake, self._restart)
+        while self.events[0][0] < END_S * 1000:
+            now, _, kind, data = heapq.heappop(self.events)
+            handler_by_kind[kind](now, data)
+
+    def _schedule(self, at, kind, data):
+        self.sequence += 1
+        heapq.heappush(self.events, (at, self.sequence, kind, data))
+
+    def _arrive(self, now, _):
+        gap_ms = self.gap_ms * self.random.uniform(0.9, 1.1)
+        self._schedule(now + gap_ms, ARRIVE, None)
+        self.next_call += 1
+        offered = self.queue.offer(
+            self.next_call, int(now) + DEADLINE_MS, int(now))
+        if offered.value_or(None) is None:
+            self._refuse(now, 1)
+        self._dispatch(now)
+
+    def _refuse(self, now, count):
+        if now >= RESTART_MS:
+            self.refused += count
+
+    def _dispatch(self, now):
+        while self.ramp.may_start(int(now)):
+            taken = self.queue.take(int(now))
+            self._refuse(now, len(taken.expired))
+            if taken.key is None:
+                return
+            self.ramp.started(int(now))
+            if now < self.target.up_at:
+                self._refuse(now, 1)
+                self.ramp.finished(int(now), 0, False)
+                self.ramp.reset_cold()
+                if isinstance(self.ramp, Fixed):
+                    return
+                continue
+            service_ms = self.target.service_ms(now)
+            self.target.running[taken.key] = now
+            self._schedule(
+                now + service_ms, DONE, (taken.key, now, service_ms))
+            self._check(now)
+        self._sleep(now)
+
+    def _sleep(self, now):
+        at = self.ramp.next_start()
+        if at > now and at != self.wake_at and len(self.queue):
+            self.wake_at = at
+            self._schedule(at, WAKE, None)
+
+    def _wake(self, now, _):
+        self.wake_at = None
+        self._dispatch(now)
+
+    def _done(self, now, data):
+        key, began, service_ms = data
+        if key not in self.target.running:
+            return
+        self._check(now)
+        if self.target.running.pop(key, None) is None:
+            return
+        self.target.complete(began, now)
+        self.good[int(now / 1000)] += 1
+        self.queue.served(service_ms, self.ramp_limit())
+        self.ramp.finished(int(now), service_ms, True)
+        self._dispatch(now)
+
+    def ramp_limit(self):
+        r"""Return the requests that may be in flight."""
+        if isinstance(self.ramp, Fixed):
+            return self.ramp.slots
+        return self.ramp.limit()
+
+    def _check(self, now):
+        if self.target.load(now) > self.target.bears(now):
+            self.target.failures += 1
+            self._break(now, DOWN_MS)
+
+    def _restart(self, now, _):
+        if self.silent:
+            self.target.restart(now)
+        else:
+            self._break(now, 0)
+
+    def _break(self, now, down_ms):
+        broken = dict(self.target.running)
+        self.lost += len(broken)
+        self.target.running.clear()
+        self.target.restart(now + down_ms)
+        for began in broken.values():
+            self.ramp.finished(int(now), now - began, False)
+        if broken:
+            self.ramp.reset_cold()
+        self._schedule(now + down_ms, WAKE, None)
+
+
+def full_rate_s(good, offered):
+    r"""Return seconds from the restart until the full rate, or None."""
+    for second in range(RESTART_MS // 1000, END_S - STEADY_S):
+        if min(good[second:second + STEADY_S]) >= RECOVERED_SHARE * offered:
+            return second - RESTART_MS // 1000
+    return None
+
+
+def measure(slots, warm, silent, with_ramp, seed):
+    r"""Return the row of one combination."""
+    warm_ms, warm_requests = {
+        '3 s': (3000, 0), '10 s': (10_000, 0), '100 requests': (0, 100),
+    }[warm]
+    target = Target(
+        slots, warm_ms, warm_requests, random.Random(seed + 1000))
+    limit = Fixed(slots)
+    if with_ramp:
+        limit = ramp.make_ramp(max(1, int(slots * ANNOUNCED_SHARE)), slots)
+    model = Model(target, limit, silent, random.Random(seed))
+    model.run()
+    offered = OFFERED_LOAD * slots * 1000 / SERVICE_MS
+    return {
+        'slots': slots,
+        'warm after': warm,
+        'restart': 'silent' if silent else 'breaks',
+        'ramp': 'on' if with_ramp else 'off',
+        'failures': target.failures,
+        'lost': model.lost,
+        'refused': model.refused,
+        'full rate': full_rate_s(model.good, offered),
+    }
+
+
+@click.command()
+@click.option('--seed', default=1, show_default=True)
+@click.option('--output', type=click.Choice(['table', 'json']),
+              default='table', show_default=True)
+def main(seed, output):
+    r"""Measure a restart without warning, with and without the ramp."""
+    rows = [
+        measure(slots, warm, silent, with_ramp, seed)
+        for slots in (1, 2, 16)
+        for warm in ('3 s', '10 s', '100 requests')
+        for silent in (False, True)
+        for with_ramp in (False, True)]
+    if output == 'json':
+        click.echo(json.dumps(rows, indent=2))
+    else:
+        click.echo(tabulate.tabulate(rows, 'keys', missingval='never'))
+
+
+if __name__ == '__main__':
+    main()
