Limit the growth of the ramp by time and by past cold failures

Cause: the level doubled within 32 completions however quickly those came, so larger targets were overloaded while cold; after a failure the cautious growth above a threshold took minutes. Change: the level at most doubles in 2 s (completions are still needed), and each failure of a cold target that had made progress doubles a divisor of the growth, which reaching the ceiling halves.

--- a/poplarstep/limits/ramp.py
+++ b/poplarstep/limits/ramp.py
@@ -20,7 +20,8 @@
 COLD_SHARE = 0.25
 GROWTH_DIVISOR = 32
 MAXIMUM_STEP = 0.25
-CAUTIOUS_GROWTH = 0.125
+DOUBLING_MS = 2000
+MAXIMUM_CAUTION = 32
 UNUSED_GROWTH = 0.25
 NEAR_FACTOR = 1.5
 RISEN_FACTOR = 2.0
@@ -86,11 +87,15 @@
 
     A completed request with a latency near the baseline raises the level by
     1/32 of it, at most by a quarter of a slot; a quarter of that when the
-    level was not in use. A failed request, or a window whose median latency
-    is twice the baseline, halves the level, once for the requests that were
-    in flight together. Above half of the level at which the target failed
-    while it was cold, the level grows at an eighth of the rate until it has
-    reached the ceiling once.
+    level was not in use. Completions that follow one another quickly do not
+    raise it faster than to its double in two seconds. A failed request, or
+    a window whose median latency is twice the baseline, halves the level,
+    once for the requests that were in flight together.
+
+    Each failure of a cold target that had made progress doubles the
+    caution: both growth limits are divided by it. Each time the level
+    reaches the ceiling, the caution is halved. A target that needs longer
+    to warm up than the ramp assumes thus fails a few times, not forever.
 
     Examples
     ========
@@ -99,8 +104,8 @@
     >>> ramp.limit()
     1
     >>> for number in range(40):
-    ...     ramp.started(now=number * 10)
-    ...     ramp.finished(now=number * 10 + 10, latency_ms=10,
+    ...     ramp.started(now=number * 90)
+    ...     ramp.finished(now=number * 90 + 90, latency_ms=90,
     ...                   succeeded=True)
     >>> ramp.limit()
     2
@@ -108,15 +113,16 @@
     """
 
     __slots__ = (
-        'cold_limit', 'ceiling', 'level', 'threshold', 'in_flight',
+        'cold_limit', 'ceiling', 'level', 'caution', 'progress', 'in_flight',
         'stale', 'baseline', 'recent', 'failures', 'fell_at',
-        'next_start_at', 'last_finish_at', 'cold')
+        'next_start_at', 'last_finish_at', 'grown_at', 'cold')
 
     def __init__(self, cold_limit, ceiling):
         self.cold_limit = cold_limit
         self.ceiling = ceiling
         self.level = self.cold_level()
-        self.threshold = float(ceiling)
+        self.caution = 1
+        self.progress = False
         self.in_flight = 0
         self.stale = 0
         self.baseline = LatencyBaseline()
@@ -125,6 +131,7 @@
         self.fell_at = None
         self.next_start_at = 0
         self.last_finish_at = None
+        self.grown_at = None
         self.cold = True
 
     def cold_level(self):
@@ -190,20 +197,22 @@
         ===========
 
         Requests in flight are still counted until the owner reports their
-        end, and these ends are no evidence about the new start. If the
-        target was still warming up, half of the level that it had becomes
-        the threshold for cautious growth.
+        end, and these ends are no evidence about the new start.
         """
-        if self.cold:
-            self.threshold = max(
-                self.cold_level(), min(self.threshold, self.level / 2))
+        self._count_cold_failure()
         self.level = self.cold_level()
         self.stale = self.in_flight
         self.baseline = LatencyBaseline()
         self.recent = []
         self.fell_at = None
+        self.grown_at = None
         self.cold = True
 
+    def _count_cold_failure(self):
+        if self.cold and self.progress:
+            self.caution = min(MAXIMUM_CAUTION, self.caution * 2)
+        self.progress = False
+
     def _release(self):
         r"""Free a slot; return whether the request predates a reset."""
         self.in_flight = max(0, self.in_flight - 1)
@@ -232,7 +241,7 @@
                 self._latency_has_risen(now)
                 return
         if latency_ms <= NEAR_FACTOR * baseline + LATENCY_SLACK_MS:
-            self._grow(used)
+            self._grow(now, used)
 
     def _latency_has_risen(self, now):
         r"""Halve the level; at the cold level, accept the new latency.
@@ -246,22 +255,27 @@
         self.level = max(self.cold_level(), self.level * FALL_FACTOR)
         self.fell_at = now
 
-    def _grow(self, used):
+    def _grow(self, now, used):
+        self.progress = True
         step = min(self.level / GROWTH_DIVISOR, MAXIMUM_STEP)
+        if self.grown_at is not None:
+            elapsed_ms = max(0, now - self.grown_at)
+            step = min(step, self.level * elapsed_ms / DOUBLING_MS)
+        self.grown_at = now
         if not used:
             step *= UNUSED_GROWTH
-        if self.level >= self.threshold:
-            step *= CAUTIOUS_GROWTH
-        self.level = min(float(self.ceiling), self.level + step)
+        if self.level >= self.ceiling:
+            return
+        self.level = min(
+            float(self.ceiling), self.level + step / self.caution)
         if self.level >= self.ceiling:
             self.cold = False
-            self.threshold = float(self.ceiling)
+            self.caution = max(1, self.caution // 2)
 
     def _fall(self, now, latency_ms):
         if self.fell_at is not None and now - latency_ms < self.fell_at:
             return
-        if self.cold:
-            self.threshold = max(self.cold_level(), self.level / 2)
+        self._count_cold_failure()
         self.level = max(self.cold_level(), self.level * FALL_FACTOR)
         self.fell_at = now
 
