Pace the starts of requests at targets with few slots

Cause: with 2 slots the level between 1 and 2 had no effect and then doubled the load at once. Change: with fewer than 4 slots the limit is the level rounded up, and starts follow one another no faster than latency / level. With 1 slot the cold level of a quarter is too near to what the target bears.

--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -19,13 +19,16 @@
 ``failures`` counts failures of the target after that restart, ``lost``
 requests that were in flight at a failure, ``refused`` requests that were
 not run, and ``full rate`` the seconds until three seconds in a row reach
-95% of the offered rate.
+95% of the offered rate, in the runs that reach it; ``never`` counts the
+others. ``most`` is the worst run's number of failures.
 """
 
 import collections
+from concurrent import futures
 import heapq
 import json
 import random
+import statistics
 
 import click
 import tabulate
@@ -277,8 +280,8 @@
     return None
 
 
-def measure(slots, warm, silent, with_ramp, seed):
-    r"""Return the row of one combination."""
+def measure_once(slots, warm, silent, with_ramp, seed):
+    r"""Return failures, lost, refused and seconds until full rate."""
     warm_ms, warm_requests = {
         '3 s': (3000, 0), '10 s': (10_000, 0), '100 requests': (0, 100),
     }[warm]
@@ -290,34 +293,55 @@
     model = Model(target, limit, silent, random.Random(seed))
     model.run()
     offered = OFFERED_LOAD * slots * 1000 / SERVICE_MS
+    return (
+        target.failures, model.lost, model.refused,
+        full_rate_s(model.good, offered))
+
+
+def measure(slots, warm, silent, with_ramp, seeds):
+    r"""Return the row of one combination: means over the seeds."""
+    failures, lost, refused, seconds = zip(*(
+        measure_once(slots, warm, silent, with_ramp, seed)
+        for seed in range(seeds)))
+    reached = [value for value in seconds if value is not None]
     return {
         'slots': slots,
         'warm after': warm,
         'restart': 'silent' if silent else 'breaks',
         'ramp': 'on' if with_ramp else 'off',
-        'failures': target.failures,
-        'lost': model.lost,
-        'refused': model.refused,
-        'full rate': full_rate_s(model.good, offered),
+        'failures': statistics.fmean(failures),
+        'most': max(failures),
+        'lost': statistics.fmean(lost),
+        'refused': statistics.fmean(refused),
+        'full rate': statistics.fmean(reached) if reached else None,
+        'never': len(seconds) - len(reached),
     }
 
 
 @click.command()
-@click.option('--seed', default=1, show_default=True)
+@click.option('--seeds', default=5, show_default=True,
+              help='Runs of each row, with the seeds from 0 on.')
+@click.option('--slots', 'chosen', multiple=True, type=int,
+              default=(1, 2, 16), show_default=True)
+@click.option('--jobs', default=4, show_default=True,
+              help='Processes that measure at the same time.')
 @click.option('--output', type=click.Choice(['table', 'json']),
               default='table', show_default=True)
-def main(seed, output):
+def main(seeds, chosen, jobs, output):
     r"""Measure a restart without warning, with and without the ramp."""
-    rows = [
-        measure(slots, warm, silent, with_ramp, seed)
-        for slots in (1, 2, 16)
-        for warm in ('3 s', '10 s', '100 requests')
-        for silent in (False, True)
-        for with_ramp in (False, True)]
+    with futures.ProcessPoolExecutor(max_workers=jobs) as pool:
+        pending = [
+            pool.submit(measure, slots, warm, silent, with_ramp, seeds)
+            for with_ramp in (False, True)
+            for slots in chosen
+            for warm in ('3 s', '10 s', '100 requests')
+            for silent in (False, True)]
+        rows = [entry.result() for entry in pending]
     if output == 'json':
         click.echo(json.dumps(rows, indent=2))
     else:
-        click.echo(tabulate.tabulate(rows, 'keys', missingval='never'))
+        click.echo(tabulate.tabulate(
+            rows, 'keys', floatfmt='.1f', missingval='-'))
 
 
 if __name__ == '__main__':
--- a/poplarstep/limits/ramp.py
+++ b/poplarstep/limits/ramp.py
@@ -4,16 +4,20 @@
 ===========
 
 The level is a real number of slots in use. It starts at the cold limit
-and changes only when a request completes. From level 1 up, the limit of
-requests in flight is the level rounded down. A target with fewer than
-``FINE_CEILING`` slots cannot be loaded a little by whole requests, so its
-level starts at a quarter of the ceiling; below level 1 one request is in
-flight at a time, and after a request that took ``t`` ms the next one waits
-``t * (1 / level - 1)`` ms. The level is then the share of time in which
-the target is busy. Waiting passes time but never raises the level.
+and changes only when a request completes. The limit of requests in flight
+is the level rounded down, at least 1.
+
+A target with fewer than ``FINE_CEILING`` slots cannot be loaded a little by
+whole requests. Its level starts at a quarter of the ceiling, its limit is
+the level rounded up, and starts are paced: the next request may start
+``t / level`` ms after the last one, where ``t`` is the baseline latency,
+and below level 1 ``t * (1 / level - 1)`` ms after the end of a request that
+took ``t`` ms. The level is then the mean number of busy slots. Waiting
+passes time but never raises the level.
 """
 
 import collections
+import math
 import statistics
 
 FINE_CEILING = 4
@@ -142,6 +146,8 @@
 
     def limit(self):
         r"""Return the number of requests that may be in flight."""
+        if self.ceiling < FINE_CEILING:
+            return math.ceil(self.level)
         return max(1, int(self.level))
 
     def may_start(self, now):
@@ -159,6 +165,10 @@
     def started(self, now):
         r"""Count a request that was dispatched to the target."""
         self.in_flight += 1
+        latency_ms = self.baseline.value()
+        if self.ceiling < FINE_CEILING and self.level < self.ceiling and (
+                latency_ms is not None):
+            self._wait(now, latency_ms / self.level)
 
     def abandoned(self, now):
         r"""Free the slot of a request that ended without evidence."""
@@ -280,13 +290,14 @@
         self.fell_at = now
 
     def _pace(self, now, latency_ms):
-        gap_ms = 0.0
         if self.level < 1:
-            gap_ms = latency_ms * (1 / self.level - 1)
+            self._wait(now, latency_ms * (1 / self.level - 1))
         if self.failures:
-            gap_ms = max(
-                gap_ms, MINIMUM_GAP_MS * 2 ** min(self.failures, 10))
-        self.next_start_at = now + int(min(gap_ms, MAXIMUM_GAP_MS))
+            self._wait(now, MINIMUM_GAP_MS * 2 ** min(self.failures, 10))
+
+    def _wait(self, now, gap_ms):
+        self.next_start_at = max(
+            self.next_start_at, now + int(min(gap_ms, MAXIMUM_GAP_MS)))
 
 
 def make_ramp(cold_limit, ceiling):
