Report refused connections to the ramp; fix span expiry of the retry budget

Cause: a refused connection is no request that failed under load, and the owner had to combine two calls for it. In the retry budget, first attempts of spans that expired in one jump of time were counted for ever.

--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -79,6 +79,10 @@
         r"""Free a slot."""
         self.in_flight -= 1
 
+    def unreachable(self, now):
+        r"""Free a slot."""
+        self.in_flight -= 1
+
     def reset_cold(self):
         r"""Ignore the restart."""
 
@@ -208,11 +212,8 @@
             self.ramp.started(int(now))
             if now < self.target.up_at:
                 self._refuse(now, 1)
-                self.ramp.finished(int(now), 0, False)
-                self.ramp.reset_cold()
-                if isinstance(self.ramp, Fixed):
-                    return
-                continue
+                self.ramp.unreachable(int(now))
+                break
             service_ms = self.target.service_ms(now)
             self.target.running[taken.key] = now
             self._schedule(
--- a/poplarstep/limits/budget.py
+++ b/poplarstep/limits/budget.py
@@ -142,7 +142,9 @@
             return self.spans[-1]
         oldest = number - SPANS_PER_WINDOW
         while self.spans and self.spans[0][0] < oldest:
-            self.retries -= self.spans.popleft()[2]
+            _, attempts, retries = self.spans.popleft()
+            self.attempts -= attempts
+            self.retries -= retries
         for span in self.spans:
             if span[0] > oldest:
                 break
@@ -169,10 +171,16 @@
         Length of the sliding window.
     floor_per_s : int
         Retries per second that are allowed in addition.
+
+    Raises
+    ======
+
+    ValueError
+        If the window is not a multiple of ``SPANS_PER_WINDOW``.
     """
-    if window_ms < SPANS_PER_WINDOW:
+    if window_ms < 1 or window_ms % SPANS_PER_WINDOW:
         raise ValueError(
-            'retry window must be at least %d ms, not %r ms'
+            'retry window must be a multiple of %d ms, not %r ms'
             % (SPANS_PER_WINDOW, window_ms))
     floor = None
     if floor_per_s:
--- a/poplarstep/limits/ramp.py
+++ b/poplarstep/limits/ramp.py
@@ -203,7 +203,24 @@
         else:
             self.failures += 1
             self._fall(now, latency_ms)
-        self._pace(now, latency_ms)
+        if self.level < 1:
+            self._wait(now, latency_ms * (1 / self.level - 1))
+        if self.failures:
+            self._back_off(now)
+
+    def unreachable(self, now):
+        r"""Free the slot of a request whose connection was refused.
+
+        Explanation
+        ===========
+
+        The target is not running, so it will start cold. Starts are spaced
+        by a gap that doubles with each refused connection, up to a second.
+        """
+        self._release()
+        self.failures += 1
+        self.reset_cold()
+        self._back_off(now)
 
     def reset_cold(self):
         r"""Return to the cold limit: the target has started again.
@@ -294,11 +311,8 @@
         self.level = max(self.cold_level(), self.level * FALL_FACTOR)
         self.fell_at = now
 
-    def _pace(self, now, latency_ms):
-        if self.level < 1:
-            self._wait(now, latency_ms * (1 / self.level - 1))
-        if self.failures:
-            self._wait(now, MINIMUM_GAP_MS * 2 ** min(self.failures, 10))
+    def _back_off(self, now):
+        self._wait(now, MINIMUM_GAP_MS * 2 ** min(self.failures, 10))
 
     def _wait(self, now, gap_ms):
         self.next_start_at = max(
