Move the history file of samples to the edge

Cause: reports/history.py opens files and uses a codec, so the reports could not be used by another front end. Change: the module and its test move unchanged to poplarstep/edge. Before: 1 module outside edge and programs imported msgspec; after: 0. Conclusion: reports hold decisions only.

--- a/poplarstep/reports/tests/test_history.py
+++ b/poplarstep/edge/tests/test_history.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies
 import pytest
 
-from poplarstep.reports import history
+from poplarstep.edge import history
 from poplarstep.reports import sample
 
 SAMPLES = tuple(
--- a/poplarstep/reports/__init__.py
+++ b/poplarstep/reports/__init__.py
@@ -2,7 +2,6 @@
 
 __all__ = [
     'burn',
-    'history',
     'objective',
     'plot',
     'sample',
