--- a/poplarstep/core/__init__.py
+++ b/poplarstep/core/__init__.py
@@ -3,6 +3,7 @@
 __all__ = [
     'address',
     'effect',
+    'memory',
     'record',
     'registry',
     'stage',
--- /dev/null
+++ b/poplarstep/core/memory.py
@@ -0,0 +1,316 @@
+r"""In-memory driver: whole nodes without sockets, on a seeded schedule.
+
+Explanation
+===========
+
+The driver replaces the tasks at the edge. A node is a pipeline, a timer
+queue, functions that carry out its effects, and a decoder for each address
+that it owns; these are what the edge gives a real node. Time is simulated,
+so a run takes no longer than its events, and the same seed gives the same
+run. Payloads travel as objects: encoding is not part of this front end.
+
+A *paused* node neither reads nor decides, and its clock goes on; what
+arrives waits undecoded. A *stalled* node reads and decodes, but its inbox
+waits. Both drop what exceeds ``INBOX_LIMIT``.
+"""
+
+import collections
+import heapq
+import itertools
+import random
+
+from poplarstep.core import effect
+from poplarstep.core import record
+
+INBOX_LIMIT = 4096
+
+
+class Faults(record.Record):
+    r"""What the network does to a delivery.
+
+    Parameters
+    ==========
+
+    least_ms, most_ms : int
+        Range of the one-way delay; a range reorders deliveries.
+    loss, duplication : float
+        Probability of each.
+    """
+
+    __slots__ = ('least_ms', 'most_ms', 'loss', 'duplication')
+
+    def __init__(self, least_ms=1, most_ms=1, loss=0.0, duplication=0.0):
+        self.least_ms = least_ms
+        self.most_ms = most_ms
+        self.loss = loss
+        self.duplication = duplication
+
+
+class Node:
+    r"""One node of the model.
+
+    Parameters
+    ==========
+
+    decoder_by_address : dict
+        For each own address a function ``(source, payload, now)`` that
+        returns the message for the pipeline.
+    performer_by_type : dict
+        For each type of effect a function ``(node, item)``; the messages
+        that it returns enter the pipeline again.
+    offset_ms : int
+        Difference between the node's clock and the driver's.
+    """
+
+    __slots__ = (
+        'name', 'decoder_by_address', 'pipeline', 'timers',
+        'performer_by_type', 'offset_ms', 'alive', 'paused', 'stalled',
+        'undecoded', 'inbox', 'wake_at', 'dropped')
+
+    def __init__(
+            self, name, decoder_by_address, pipeline, timers,
+            performer_by_type, offset_ms=0):
+        self.name = name
+        self.decoder_by_address = decoder_by_address
+        self.pipeline = pipeline
+        self.timers = timers
+        self.performer_by_type = {
+            effect.Loop: lambda node, item: [item.message],
+            **performer_by_type,
+        }
+        self.offset_ms = offset_ms
+        self.alive = True
+        self.paused = False
+        self.stalled = False
+        self.undecoded = collections.deque()
+        self.inbox = collections.deque()
+        self.wake_at = None
+        self.dropped = 0
+
+    def ready(self):
+        r"""Return whether the node may decide now."""
+        return self.alive and not self.paused and not self.stalled
+
+
+class Driver:
+    r"""Clock, network and nodes of one simulated system.
+
+    Examples
+    ========
+
+    A balancer without a confirmed configuration refuses an ``Open``:
+
+    >>> import random
+    >>> from poplarstep.configuration import catalogue
+    >>> from poplarstep.core import address, stage, timer
+    >>> from poplarstep.flow import packet
+    >>> from poplarstep.routing import gate, opening
+    >>> from poplarstep.routing import state as states
+    >>> front = address.Address('10.0.0.1', 1)
+    >>> caller = address.Address('10.0.0.9', 9)
+    >>> path = packet.ReturnPath(caller, caller, front)
+    >>> balancer = states.make_balancer_state(
+    ...     catalogue.Catalogue(), lambda now: False, None, None, None)
+    >>> driver = make_driver(seed=1)
+    >>> node = driver.add(Node(
+    ...     'b1', {front: lambda source, body, now: packet.Ingress(
+    ...         path, body)},
+    ...     stage.Pipeline([
+    ...         (gate.GATE, balancer), (opening.SELECT, balancer)]),
+    ...     timer.TimerQueue(), {packet.Egress: lambda node, item: (
+    ...         driver.send(front, caller, item.packet))}))
+    >>> received = []
+    >>> node = driver.add(Node(
+    ...     'caller', {caller: lambda source, body, now: body},
+    ...     stage.Pipeline([]), timer.TimerQueue(), {
+    ...         packet.Refused: lambda node, item: received.append(
+    ...             (driver.now, item.reason))}))
+    >>> driver.send(caller, front, packet.Open(7))
+    >>> driver.run(until=10)
+    >>> received
+    [(2, 'balancer-unconfirmed')]
+
+    """
+
+    __slots__ = (
+        'now', 'random', 'faults', 'fault_by_pair', 'node_by_name',
+        'name_by_address', 'cuts', 'events', 'order', 'sent', 'lost',
+        'duplicated', 'unhandled')
+
+    def __init__(self, generator, faults):
+        self.now = 0
+        self.random = generator
+        self.faults = faults
+        self.fault_by_pair = {}
+        self.node_by_name = {}
+        self.name_by_address = {}
+        self.cuts = set()
+        self.events = []
+        self.order = itertools.count()
+        self.sent = 0
+        self.lost = 0
+        self.duplicated = 0
+        self.unhandled = 0
+
+    def add(self, node):
+        r"""Start a node; one of the same name that runs is killed first."""
+        self.kill(node.name)
+        self.node_by_name[node.name] = node
+        for owned in node.decoder_by_address:
+            self.name_by_address[owned] = node.name
+        self._schedule_wake(node)
+        return node
+
+    def kill(self, name):
+        r"""End a node; what it held is lost."""
+        node = self.node_by_name.pop(name, None)
+        if node is not None:
+            node.alive = False
+            for owned in node.decoder_by_address:
+                del self.name_by_address[owned]
+
+    def pause(self, name):
+        r"""Stop a node's process; its clock goes on."""
+        self.node_by_name[name].paused = True
+
+    def stall(self, name):
+        r"""Let a node read but not decide, as a slow task does."""
+        self.node_by_name[name].stalled = True
+
+    def resume(self, name):
+        r"""End a pause or a stall; what waited is decided now."""
+        node = self.node_by_name[name]
+        node.paused = node.stalled = False
+        while node.undecoded:
+            self._decode(node, *node.undecoded.popleft())
+        while node.inbox:
+            self._process(node, node.inbox.popleft())
+        self._wake(node)
+
+    def cut(self, source_name, destination_name):
+        r"""Lose everything from one node to another, one way."""
+        self.cuts.add((source_name, destination_name))
+
+    def heal(self):
+        r"""Remove all cuts."""
+        self.cuts.clear()
+
+    def send(self, source, destination, payload):
+        r"""Send a payload from one address to another."""
+        pair = (
+            self.name_by_address.get(source),
+            self.name_by_address.get(destination))
+        faults = self.fault_by_pair.get(pair, self.faults)
+        self.sent += 1
+        if pair in self.cuts or self.random.random() < faults.loss:
+            self.lost += 1
+            return
+        copies = 1
+        if self.random.random() < faults.duplication:
+            self.duplicated += 1
+            copies = 2
+        for _ in range(copies):
+            delay = self.random.randint(faults.least_ms, faults.most_ms)
+            self.at(self.now + delay, lambda: self._deliver(
+                source, destination, payload))
+
+    def post(self, name, message):
+        r"""Put a message into a node's inbox; a dead node loses it."""
+        node = self.node_by_name.get(name)
+        if node is not None:
+            self._accept(node, message)
+
+    def at(self, time, action):
+        r"""Call a function at a time of the driver's clock, in ms."""
+        heapq.heappush(
+            self.events, (max(time, self.now), next(self.order), action))
+
+    def run(self, until):
+        r"""Advance the clock to a time and carry out all that is due."""
+        while self.events and self.events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+        self.now = max(self.now, until)
+
+    def _deliver(self, source, destination, payload):
+        node = self.node_by_name.get(self.name_by_address.get(destination))
+        if node is None:
+            self.lost += 1
+        elif node.paused:
+            self._hold(node, node.undecoded, (source, destination, payload))
+        else:
+            self._decode(node, source, destination, payload)
+
+    def _decode(self, node, source, destination, payload):
+        decoder = node.decoder_by_address[destination]
+        message = decoder(source, payload, self.now + node.offset_ms)
+        if message is not None:
+            self._accept(node, message)
+
+    def _accept(self, node, message):
+        if node.ready():
+            self._process(node, message)
+            self._schedule_wake(node)
+        else:
+            self._hold(node, node.inbox, message)
+
+    def _hold(self, node, waiting, item):
+        if len(waiting) >= INBOX_LIMIT:
+            node.dropped += 1
+        else:
+            waiting.append(item)
+
+    def _process(self, node, message):
+        r"""Run one message and all that follow from it."""
+        waiting = collections.deque([message])
+        while waiting and node.alive:
+            produced = node.pipeline.process(
+                waiting.popleft(), self.now + node.offset_ms)
+            for item in produced:
+                outcome = self._perform(node, item)
+                if type(outcome) is effect.Abort:
+                    waiting.appendleft(outcome.message)
+                    break
+                waiting.extend(outcome)
+
+    def _perform(self, node, item):
+        performer = node.performer_by_type.get(type(item))
+        if performer is None:
+            self.unhandled += 1
+            return ()
+        return performer(node, item) or ()
+
+    def _wake(self, node):
+        node.wake_at = None
+        if node.ready():
+            for tick in node.timers.due(self.now + node.offset_ms):
+                self._process(node, tick)
+            self._schedule_wake(node)
+
+    def _schedule_wake(self, node):
+        deadline = node.timers.next_deadline()
+        if deadline is None or not node.alive:
+            return
+        wake_at = max(self.now, deadline - node.offset_ms)
+        if node.wake_at is None or wake_at < node.wake_at:
+            node.wake_at = wake_at
+            self.at(wake_at, lambda: self._wake_if_due(node, wake_at))
+
+    def _wake_if_due(self, node, wake_at):
+        if node.wake_at == wake_at:
+            self._wake(node)
+
+
+def make_driver(seed, faults=None):
+    r"""Return a driver without nodes at time 0.
+
+    Parameters
+    ==========
+
+    seed : int
+        The schedule depends on it alone.
+    faults : Faults or None
+        Those of every pair of nodes without their own in
+        ``fault_by_pair``.
+    """
+    return Driver(random.Random(seed), faults or Faults())
