Build the pipelines of agent and balancer apart from the programs

Cause: the pipelines were put together beside the sockets, so another front end would have had to repeat the wiring. Change: requests/assembly.py and routing/assembly.py build them from settings; the programs pass incarnation, clock and random numbers.

--- a/poplarstep/programs/agent.py
+++ b/poplarstep/programs/agent.py
@@ -3,11 +3,8 @@
 import msgspec
 from returns import result
 
-from poplarstep.configuration import catalogue as catalogues
 from poplarstep.core import address
 from poplarstep.core import effect
-from poplarstep.core import stage
-from poplarstep.dissemination import subscriber
 from poplarstep.edge import codec
 from poplarstep.edge import datagrams
 from poplarstep.edge import proxy_header
@@ -16,12 +13,9 @@
 from poplarstep.flow import packet
 from poplarstep.flow import token
 from poplarstep.programs import node as nodes
-from poplarstep.requests import admission
-from poplarstep.requests import announcing
+from poplarstep.requests import assembly
 from poplarstep.requests import message
-from poplarstep.requests import ownership
 from poplarstep.requests import state as states
-from poplarstep.requests import verification
 
 
 def build(settings):
@@ -37,8 +31,9 @@
             return opened
     front, links = front.unwrap(), links.unwrap()
     client = target_client.TargetClient(lambda batch: node.task.post(batch))
-    pipeline, agent, admitted = make_pipeline(settings)
-    nodes.subscribe(node, subscriber, ownership, admission)
+    pipeline, agent, admitted = assembly.make_pipeline(
+        settings, nodes.new_incarnation())
+    nodes.subscribe(node, *assembly.TICKING)
     node.exporter.add_counters('agent', agent.counters)
     node.exporter.add_values(lambda: _load_rows(admitted))
     node.status = lambda: _status(agent, admitted)
@@ -50,36 +45,6 @@
         links, {'front': front})
 
 
-def make_pipeline(settings):
-    r"""Return the pipeline of an agent and the states to watch.
-
-    Returns
-    =======
-
-    tuple
-        ``(Pipeline, AgentState, AdmissionState)``.
-    """
-    catalogue = catalogues.Catalogue()
-    incarnation = nodes.new_incarnation()
-    subscribed = subscriber.make_subscriber(
-        settings['node'], 'agent', incarnation, catalogue,
-        settings['upstreams'])
-    agent = states.make_agent_state(
-        settings['node'], settings['data-centre'],
-        settings['agent-address'], incarnation, catalogue,
-        settings['flow-idle'], settings['answer-bytes'])
-    admitted = admission.make_admission_state(
-        agent, settings['queue-length'])
-    pipeline = stage.Pipeline([
-        (announcing.ANNOUNCE, agent),
-        (subscriber.SUBSCRIBER, subscribed),
-        (verification.VERIFY, agent),
-        (ownership.REQUESTS, agent),
-        (admission.ADMISSION, admitted),
-    ])
-    return pipeline, agent, admitted
-
-
 def make_decoder(packets):
     r"""Return the decoder of datagrams from balancers."""
     def decode(source, data):
--- a/poplarstep/programs/balancer.py
+++ b/poplarstep/programs/balancer.py
@@ -4,25 +4,17 @@
 
 from returns import result
 
-from poplarstep.configuration import catalogue as catalogues
 from poplarstep.core import address
 from poplarstep.core import effect
-from poplarstep.core import stage
-from poplarstep.dissemination import publisher
-from poplarstep.dissemination import subscriber
 from poplarstep.edge import clock
 from poplarstep.edge import codec
 from poplarstep.edge import datagrams
 from poplarstep.edge import proxy_header
 from poplarstep.flow import packet
 from poplarstep.flow import token
-from poplarstep.limits import budget
-from poplarstep.limits import shedder
 from poplarstep.programs import node as nodes
-from poplarstep.routing import gate
+from poplarstep.routing import assembly
 from poplarstep.routing import opening
-from poplarstep.routing import selectors
-from poplarstep.routing import state as states
 
 
 def build(settings):
@@ -39,8 +31,9 @@
         if isinstance(opened, result.Failure):
             return opened
     front, back, links = front.unwrap(), back.unwrap(), links.unwrap()
-    pipeline, subscribed, balancer = make_pipeline(settings)
-    nodes.subscribe(node, subscriber, publisher, opening)
+    pipeline, subscribed, balancer = assembly.make_pipeline(
+        settings, nodes.new_incarnation(), random.Random(), clock.now_ms())
+    nodes.subscribe(node, *assembly.TICKING)
     node.exporter.add_counters('balancer', balancer.counters)
     node.exporter.add_values(lambda: _service_rows(balancer))
     node.status = lambda: {
@@ -57,42 +50,6 @@
         links, {'front': front, 'back': back})
 
 
-def make_pipeline(settings):
-    r"""Return the pipeline of a balancer and the states to watch.
-
-    Returns
-    =======
-
-    tuple
-        ``(Pipeline, SubscriberState, BalancerState)``.
-    """
-    catalogue = catalogues.Catalogue()
-    subscribed = subscriber.make_subscriber(
-        settings['node'], 'balancer', nodes.new_incarnation(), catalogue,
-        settings['upstreams'])
-    published = publisher.make_publisher(
-        catalogue, subscribed.gathered,
-        lambda now: max(0, subscribed.lease_until - now),
-        lambda: None)
-    serve_anyway = settings['without-control'] == 'serve'
-    generator = random.Random()
-    now = clock.now_ms()
-    balancer = states.make_balancer_state(
-        catalogue,
-        lambda now: subscriber.lease_holds(subscribed, now) or (
-            serve_anyway and catalogue.version > 0),
-        lambda: selectors.make_selector(settings['selector'], generator),
-        budget.make_retry_budget(now=now),
-        shedder.make_shedder(settings['opens-per-second'], now))
-    pipeline = stage.Pipeline([
-        (subscriber.SUBSCRIBER, subscribed),
-        (publisher.PUBLISHER, published),
-        (gate.GATE, balancer),
-        (opening.SELECT, balancer),
-    ])
-    return pipeline, subscribed, balancer
-
-
 def make_front_decoder(packets):
     r"""Return the decoder of datagrams from the fabric."""
     def decode(source, data):
--- a/poplarstep/requests/__init__.py
+++ b/poplarstep/requests/__init__.py
@@ -1,3 +1,11 @@
 """Agent decisions: ownership of flows and requests, admission."""
 
-__all__ = ['admission', 'message', 'ownership', 'state', 'verification']
+__all__ = [
+    'admission',
+    'announcing',
+    'assembly',
+    'message',
+    'ownership',
+    'state',
+    'verification',
+]
--- /dev/null
+++ b/poplarstep/requests/assembly.py
@@ -0,0 +1,50 @@
+r"""Builds the pipeline of an agent, for every front end."""
+
+from poplarstep.configuration import catalogue as catalogues
+from poplarstep.core import stage
+from poplarstep.dissemination import subscriber
+from poplarstep.requests import admission
+from poplarstep.requests import announcing
+from poplarstep.requests import ownership
+from poplarstep.requests import state as states
+from poplarstep.requests import verification
+
+# Modules whose ticks the front end subscribes to.
+TICKING = (subscriber, ownership, admission)
+
+
+def make_pipeline(settings, incarnation):
+    r"""Return the pipeline of an agent and the states to watch.
+
+    Parameters
+    ==========
+
+    settings : mapping
+        Typed settings by name.
+    incarnation : int
+        Identifies this run; later runs have larger numbers.
+
+    Returns
+    =======
+
+    tuple
+        ``(Pipeline, AgentState, AdmissionState)``.
+    """
+    catalogue = catalogues.Catalogue()
+    subscribed = subscriber.make_subscriber(
+        settings['node'], 'agent', incarnation, catalogue,
+        settings['upstreams'])
+    agent = states.make_agent_state(
+        settings['node'], settings['data-centre'],
+        settings['agent-address'], incarnation, catalogue,
+        settings['flow-idle'], settings['answer-bytes'])
+    admitted = admission.make_admission_state(
+        agent, settings['queue-length'])
+    pipeline = stage.Pipeline([
+        (announcing.ANNOUNCE, agent),
+        (subscriber.SUBSCRIBER, subscribed),
+        (verification.VERIFY, agent),
+        (ownership.REQUESTS, agent),
+        (admission.ADMISSION, admitted),
+    ])
+    return pipeline, agent, admitted
--- a/poplarstep/routing/__init__.py
+++ b/poplarstep/routing/__init__.py
@@ -1,3 +1,3 @@
 """Balancer decisions: lease gate, service lookup, target selection."""
 
-__all__ = ['gate', 'opening', 'state']
+__all__ = ['assembly', 'gate', 'opening', 'state']
