Number a caller's outcomes by its asks

Cause: an outcome carried the number of the last attempt, so a program with two requests on a flow could not tell which one had ended after a retry, and could not cancel a request that had been retried. Change: Outcome and Abandon count the asks of the flow.

--- a/poplarstep/caller/exchange.py
+++ b/poplarstep/caller/exchange.py
@@ -39,13 +39,14 @@
     r"""A flow as its caller sees it."""
 
     __slots__ = (
-        'flow_key', 'service', 'token', 'next_number', 'deadline',
+        'flow_key', 'service', 'token', 'asks', 'next_number', 'deadline',
         'resend_at', 'resend_after', 'exchange_by_number')
 
     def __init__(self, flow_key, service, deadline, now):
         self.flow_key = flow_key
         self.service = service
         self.token = None
+        self.asks = 0
         self.next_number = 1
         self.deadline = deadline
         self.resend_at = now + FIRST_RESEND_MS
@@ -54,13 +55,18 @@
 
 
 class Exchange(record.Record):
-    r"""One request that has no outcome yet."""
+    r"""One request that has no outcome yet.
+
+    ``ask`` counts the program's requests on the flow, ``number`` the
+    attempts: a new attempt takes a new number.
+    """
 
     __slots__ = (
-        'number', 'payload', 'idempotent', 'deadline', 'resend_at',
+        'ask', 'number', 'payload', 'idempotent', 'deadline', 'resend_at',
         'resend_after', 'retry_after', 'resends', 'part_by_index')
 
-    def __init__(self, number, payload, idempotent, deadline, now):
+    def __init__(self, ask, number, payload, idempotent, deadline, now):
+        self.ask = ask
         self.number = number
         self.payload = payload
         self.idempotent = idempotent
@@ -100,8 +106,9 @@
 def ask(state, event, now):
     r"""Send a request; the flow has to be open."""
     flow = state.flow_by_key[event.flow_key]
+    flow.asks += 1
     exchange = Exchange(
-        flow.next_number, event.payload, event.idempotent,
+        flow.asks, flow.next_number, event.payload, event.idempotent,
         now + event.deadline_ms, now)
     flow.next_number += 1
     flow.exchange_by_number[exchange.number] = exchange
@@ -112,8 +119,11 @@
 def abandon(state, event, now):
     r"""Ask the agent to cancel a request; its verdict decides."""
     flow = state.flow_by_key[event.flow_key]
-    return [effect.SendPacket(flow.service, packet.Cancel(
-        flow.flow_key, flow.token, event.number))]
+    return [
+        effect.SendPacket(flow.service, packet.Cancel(
+            flow.flow_key, flow.token, exchange.number))
+        for exchange in flow.exchange_by_number.values()
+        if exchange.ask == event.number]
 
 
 @CALLER.handles(message.EndFlow)
@@ -264,5 +274,5 @@
 def _finish(flow, exchange, decided, reason, payload):
     del flow.exchange_by_number[exchange.number]
     return message.Outcome(
-        flow.flow_key, exchange.number, int(decided), reason, payload,
+        flow.flow_key, exchange.ask, int(decided), reason, payload,
         exchange.resends)
--- a/poplarstep/caller/message.py
+++ b/poplarstep/caller/message.py
@@ -32,7 +32,7 @@
 
 
 class Abandon(record.Record):
-    r"""Cancel a request."""
+    r"""Cancel a request; ``number`` counts the asks of the flow from 1."""
 
     __slots__ = ('flow_key', 'number')
 
@@ -75,6 +75,8 @@
     Parameters
     ==========
 
+    number : int
+        Counts the asks of the flow from 1.
     verdict : int
         Value of ``Verdict``.
     reason : str
