Add scenarios over whole systems and those of established flows

Change: scenarios/ builds control, balancers, agents, model targets, a fabric and callers in memory; feature files name changes in tables.

--- /dev/null
+++ b/scenarios/tests/test_scenarios.py
@@ -0,0 +1,132 @@
+"""Steps of the scenarios: a small vocabulary over whole systems."""
+
+import pytest
+import pytest_bdd
+from pytest_bdd import parsers
+
+from poplarstep.core import verdict
+from scenarios import changes
+from scenarios import system as systems
+from scenarios import target as targets
+
+SEED = 20261
+
+pytest_bdd.scenarios('.')
+
+
+def given(text, **options):
+    """Return the decorator of a step that prepares a system."""
+    return pytest_bdd.given(parsers.parse(text), **options)
+
+
+def when(text):
+    """Return the decorator of a step that changes a system."""
+    return pytest_bdd.when(parsers.parse(text))
+
+
+def then(text):
+    """Return the decorator of a step that checks a system."""
+    return pytest_bdd.then(parsers.parse(text))
+
+
+@pytest.fixture
+def plan():
+    """Return the properties of the targets that are started next."""
+    return {}
+
+
+@pytest.fixture
+def flows():
+    """Return the keys of the open flows."""
+    return []
+
+
+@given('a system with {count:d} balancers', target_fixture='system')
+def make_system(count):
+    return systems.make_system(SEED, balancers=count)
+
+
+@given('targets with')
+def targets_with(plan, datatable):
+    for name, value in datatable:
+        plan[name.replace(' ', '_')] = int(value)
+
+
+@given('agents with')
+def agents_with(system, datatable):
+    for name, value in datatable:
+        system.agent_settings[name.replace(' ', '-')] = int(value)
+
+
+@given('a service {name} with {count:d} targets')
+def service_with_targets(system, plan, name, count):
+    index = len(system.published.machine.catalogue.service_by_name)
+    system.create_service(name, index)
+    for number in range(1, count + 1):
+        system.start_target(
+            '%s-%d' % (name, number), name, targets.Plan(**plan))
+    system.run(2500)
+
+
+@given('{count:d} open flows to {service}')
+def open_flows(system, flows, count, service):
+    opened = system.open_flows(service, count)
+    system.run(1000)
+    assert not system.failed
+    flows.extend(opened)
+    system.remember_homes(opened)
+
+
+@given('a {name} network')
+@when('the network becomes {name}')
+def network_is(system, name):
+    system.driver.faults = changes.NETWORKS.find(name).unwrap()
+
+
+@when('{change} happens')
+def change_happens(system, change):
+    changes.CHANGES.find(change).unwrap()(system)
+
+
+@when('{duration:d} ms pass')
+def time_passes(system, duration):
+    system.run(duration)
+
+
+@when('each flow sends a request')
+def flows_ask(system, flows):
+    system.ask_all(flows)
+
+
+@when('each flow sends a request every {gap:d} ms for {duration:d} ms')
+def flows_ask_often(system, flows, gap, duration):
+    for _ in range(duration // gap):
+        system.ask_all(flows)
+        system.run(gap)
+
+
+@when('{count:d} new flows to {service} send a request')
+def new_flows_ask(system, count, service):
+    opened = system.open_flows(service, count)
+    system.run(1500)
+    system.ask_all([key for key in opened if key in system.started])
+
+
+@then('nothing is broken')
+def nothing_is_broken(system):
+    assert system.faults() == []
+
+
+@then('each request is answered by the target of its flow')
+def answered_at_home(system):
+    strayed = [
+        (item.payload, item.outcome, system.ran_at(item))
+        for item in system.asked
+        if item.verdict() is not verdict.Verdict.RAN
+        or system.ran_at(item) != [system.home_by_flow[item.flow_key]]]
+    assert strayed == []
+
+
+@then('at least {count:d} requests are answered')
+def some_answered(system, count):
+    assert len(system.with_verdict(verdict.Verdict.RAN)) >= count
