End the flows of a target that comes back as another service

Cause: the agent compared a token only with the service of the packet, so requests of old flows, and opens by a catalogue that lagged, reached a target that had come back as one of another service. Change: such an announcement ends all flows of the agent, waiting requests are refused as not run, and opens wait until the catalogue shows the service that the target announces. A flow keeps its opener's address, so the table of openers loses the right entry when a Close comes from another address. Before: python -m pytest scenarios -k mixes: 2 of 6 cases fail, 6 and 16 requests of another service. After: 6 of 6 pass. Conclusion: R2 holds in these cases.

--- a/poplarstep/requests/announcing.py
+++ b/poplarstep/requests/announcing.py
@@ -5,6 +5,7 @@
 
 The target repeats its announcement as a heartbeat. Only a change of what
 balancers need raises the revision and is reported upstream. A target that
+comes back as one of another service ends the flows of the former. One that
 stops announcing itself is left to the admission stage: calls to it fail and
 the ramp falls.
 """
@@ -13,6 +14,7 @@
 from poplarstep.core import stage
 from poplarstep.dissemination import message as dissemination
 from poplarstep.requests import message
+from poplarstep.requests import ownership
 
 ANNOUNCE = stage.Stage('announce')
 
@@ -24,7 +26,11 @@
     state.target = event
     if known is not None and _public(known) == _public(event):
         return [event]
-    return [event, _announcement(state)]
+    ended = []
+    if known is not None and known.service != event.service:
+        # The flows were opened for another service (R2).
+        ended = ownership.end_all_flows(state)
+    return ended + [event, _announcement(state)]
 
 
 @ANNOUNCE.handles(message.Leave)
--- a/poplarstep/requests/ownership.py
+++ b/poplarstep/requests/ownership.py
@@ -53,7 +53,7 @@
         serial = state.next_serial
         state.next_serial += 1
         state.flow_by_serial[serial] = states.Flow(
-            forwarded.packet.flow_key, now)
+            forwarded.packet.flow_key, forwarded.path.caller, now)
         state.serial_by_opener[opener] = serial
         state.counters.opened += 1
     return [effect.SendPacket(event.source, packet.OpenOutcome(
@@ -128,9 +128,7 @@
 @PACKETS.handles(packet.Close)
 def close(context, asked, now):
     r"""End a flow; its serial is never accepted again."""
-    state, flow, path = context
-    return end_flow(
-        state, asked.token.serial, (path.caller, flow.flow_key))
+    return end_flow(context[0], asked.token.serial)
 
 
 @REQUESTS.handles(timer.Tick)
@@ -138,8 +136,6 @@
     r"""Drop flows without a packet for the idle time."""
     if event.name != TICK:
         return [event]
-    opener_by_serial = {
-        serial: opener for opener, serial in state.serial_by_opener.items()}
     messages = []
     for serial, flow in list(state.flow_by_serial.items()):
         busy = any(
@@ -147,12 +143,11 @@
             for item in flow.record_by_number.values())
         if not busy and now - flow.last_seen > state.flow_idle_ms:
             state.counters.flows_expired += 1
-            messages.extend(
-                end_flow(state, serial, opener_by_serial.get(serial)))
+            messages.extend(end_flow(state, serial))
     return messages
 
 
-def end_flow(state, serial, opener):
+def end_flow(state, serial):
     r"""Forget a flow and withdraw its unfinished requests."""
     flow = state.flow_by_serial[serial]
     withdrawn = [
@@ -162,10 +157,24 @@
     for known in flow.record_by_number.values():
         state.answer_bytes -= sum(len(part) for part in known.parts)
     del state.flow_by_serial[serial]
-    state.serial_by_opener.pop(opener, None)
+    del state.serial_by_opener[flow.caller, flow.flow_key]
     return withdrawn
 
 
+def end_all_flows(state):
+    r"""End every flow; waiting requests are refused as not run."""
+    messages = []
+    for serial, flow in list(state.flow_by_serial.items()):
+        messages.extend(
+            packet.Egress(known.path, packet.Refused(
+                flow.flow_key, number, int(verdict.Verdict.NOT_RUN),
+                'flow-ended', verification.RETRY_SOON_MS))
+            for number, known in flow.record_by_number.items()
+            if known.phase == states.Phase.QUEUED)
+        messages.extend(end_flow(state, serial))
+    return messages
+
+
 def _acknowledge(state, flow, acknowledged):
     r"""Drop the records of requests whose answers have arrived."""
     if acknowledged <= flow.floor:
--- a/poplarstep/requests/state.py
+++ b/poplarstep/requests/state.py
@@ -41,12 +41,17 @@
 
 
 class Flow(record.Record):
-    r"""One flow; requests below ``floor`` have been answered."""
+    r"""One flow; requests below ``floor`` have been answered.
 
-    __slots__ = ('flow_key', 'last_seen', 'floor', 'record_by_number')
+    ``caller`` is the address from which the flow was opened.
+    """
+
+    __slots__ = (
+        'flow_key', 'caller', 'last_seen', 'floor', 'record_by_number')
 
-    def __init__(self, flow_key, last_seen):
+    def __init__(self, flow_key, caller, last_seen):
         self.flow_key = flow_key
+        self.caller = caller
         self.last_seen = last_seen
         self.floor = 1
         self.record_by_number = {}
@@ -123,9 +128,17 @@
 
 
 def own_target(state):
-    r"""Return the catalogue's target of this agent run, or None."""
+    r"""Return the catalogue's target of this agent run, or None.
+
+    None is also returned while the catalogue shows another service than
+    the target announces.
+    """
     target = state.catalogue.target_by_name.get(state.node)
-    if target is None or target.incarnation != state.incarnation:
+    if target is None or target.incarnation != state.incarnation or (
+            state.target is None):
+        return None
+    service = state.catalogue.service_by_number.get(target.service)
+    if service is None or service.name != state.target.service:
         return None
     return target
 
--- a/poplarstep/requests/verification.py
+++ b/poplarstep/requests/verification.py
@@ -39,7 +39,7 @@
 def _open_fault(state, forwarded):
     r"""Return why an ``Open`` can't be accepted, or an empty string."""
     target = states.own_target(state)
-    if target is None or state.target is None:
+    if target is None:
         return 'target-unknown'
     if forwarded.target != target.number or (
             forwarded.service != target.service):
