Retry ended flows in the caller library, within a budget

Cause: a request whose flow had ended got the refusal as its outcome, the flow stayed unusable, retries had no budget, and a balancer that did not know a new service address failed opens and requests. Change: a request that was not run or is idempotent is attempted again on a new flow, under a new number, within its deadline and a retry budget of 10% of the asks; an attempt that waits for the budget keeps its verdict. A non-idempotent one gets its verdict. Numbers go on through all tokens of a flow, so late answers match nothing. Requests beyond the window of 64 wait, cancellations are resent, refused opens and copies back off.

--- a/poplarstep/caller/__init__.py
+++ b/poplarstep/caller/__init__.py
@@ -1,3 +1,3 @@
 """Caller library: flows, requests, resends and verdicts."""
 
-__all__ = ['exchange', 'message']
+__all__ = ['exchange', 'message', 'state']
--- a/poplarstep/flow/packet.py
+++ b/poplarstep/flow/packet.py
@@ -16,6 +16,8 @@
 
 MAXIMUM_PAYLOAD_BYTES = 1200
 MAXIMUM_PARTS = 64
+# Requests of one flow that are not yet acknowledged.
+REQUEST_WINDOW = 64
 
 
 class Open(record.Record):
--- a/poplarstep/requests/ownership.py
+++ b/poplarstep/requests/ownership.py
@@ -31,8 +31,6 @@
 
 TICK = 'flow-expiry'
 TICK_PERIOD_MS = 5000
-# Requests of one flow that are not yet acknowledged.
-REQUEST_WINDOW = 64
 
 REQUESTS = stage.Stage('requests')
 PACKETS = stage.Stage('packets of a flow')
@@ -90,9 +88,10 @@
         known.path = path
         state.counters.resent += 1
         return _recorded(state, asked.number, known)
-    if not flow.floor <= asked.number < flow.floor + REQUEST_WINDOW:
+    reason = _window_fault(flow, asked.number)
+    if reason:
         return verification.refuse_packet(
-            state, message.VerifiedPacket(path, asked), 'outside-window')
+            state, message.VerifiedPacket(path, asked), reason)
     key = message.RequestKey(asked.token.serial, asked.number)
     deadline = now + max(0, asked.deadline_ms)
     flow.record_by_number[asked.number] = states.RequestRecord(
@@ -100,6 +99,15 @@
     return [message.Admit(key, deadline)]
 
 
+def _window_fault(flow, number):
+    r"""Return why a request without a record can't be admitted, or ''."""
+    if number < flow.floor:
+        return 'acknowledged'
+    if number >= flow.floor + packet.REQUEST_WINDOW:
+        return 'beyond-window'
+    return ''
+
+
 @PACKETS.handles(packet.Cancel)
 def cancel(context, asked, now):
     r"""Withdraw a request that has not been answered."""
@@ -116,7 +124,7 @@
 
 def _cancel_early(flow, number, path):
     r"""Record a cancellation that overtook its request."""
-    if flow.floor <= number < flow.floor + REQUEST_WINDOW:
+    if not _window_fault(flow, number):
         known = states.RequestRecord(path, flow.flow_key, False, 0, b'')
         known.phase = states.Phase.REFUSED
         known.verdict = verdict.Verdict.NOT_RUN
--- a/scenarios/nodes.py
+++ b/scenarios/nodes.py
@@ -4,6 +4,7 @@
 
 from poplarstep.caller import exchange
 from poplarstep.caller import message as caller_message
+from poplarstep.caller import state as caller_states
 from poplarstep.configuration import command
 from poplarstep.configuration import machine as machines
 from poplarstep.core import address
@@ -152,7 +153,7 @@
 
 def add_callers(driver, tell):
     r"""Add the process of the callers; ``tell`` takes what it is told."""
-    state = exchange.make_caller_state()
+    state = caller_states.make_caller_state()
 
     def perform(node, item):
         tell(item)
--- a/scenarios/tests/established_flows.feature
+++ b/scenarios/tests/established_flows.feature
@@ -8,6 +8,7 @@
     And each flow sends a request
     And 4000 ms pass
     Then each request is answered by the target of its flow
+    And every flow has been opened
     And nothing is broken
 
     Examples:
@@ -19,6 +20,7 @@
       | the arrival of a service       |
       | the removal of a service       |
       | a new address of the service   |
+      | a new address behind a stale balancer |
       | the arrival of a balancer      |
       | the death of a balancer        |
       | the restart of all balancers   |
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -14,6 +14,7 @@
 
 from poplarstep.caller import exchange
 from poplarstep.caller import message
+from poplarstep.caller import state as caller_states
 from poplarstep.core import address
 from poplarstep.core import effect
 from poplarstep.core import stage
@@ -46,7 +47,7 @@
 
     def __init__(self, seed, bound=None):
         self.packets = codec.make_data_path_codec(token.OPAQUE)
-        self.state = exchange.make_caller_state()
+        self.state = caller_states.make_caller_state()
         self.waiting = {}
         self.random = random.Random(seed)
         self.socket = datagrams.open_datagram_socket(
