--- a/poplarstep/requests/ownership.py
+++ b/poplarstep/requests/ownership.py
@@ -31,8 +31,6 @@
 
 TICK = 'flow-expiry'
 TICK_PERIOD_MS = 5000
-# Requests of one flow that are not yet acknowledged.
-REQUEST_WINDOW = 64
 
 REQUESTS = stage.Stage('requests')
 PACKETS = stage.Stage('packets of a flow')
@@ -53,7 +51,7 @@
         serial = state.next_serial
         state.next_serial += 1
         state.flow_by_serial[serial] = states.Flow(
-            forwarded.packet.flow_key, now)
+            forwarded.packet.flow_key, forwarded.path.caller, now)
         state.serial_by_opener[opener] = serial
         state.counters.opened += 1
     return [effect.SendPacket(event.source, packet.OpenOutcome(
@@ -90,9 +88,10 @@
         known.path = path
         state.counters.resent += 1
         return _recorded(state, asked.number, known)
-    if not flow.floor <= asked.number < flow.floor + REQUEST_WINDOW:
+    reason = _window_fault(flow, asked.number)
+    if reason:
         return verification.refuse_packet(
-            state, message.VerifiedPacket(path, asked), 'outside-window')
+            state, message.VerifiedPacket(path, asked), reason)
     key = message.RequestKey(asked.token.serial, asked.number)
     deadline = now + max(0, asked.deadline_ms)
     flow.record_by_number[asked.number] = states.RequestRecord(
@@ -100,6 +99,15 @@
     return [message.Admit(key, deadline)]
 
 
+def _window_fault(flow, number):
+    r"""Return why a request without a record can't be admitted, or ''."""
+    if number < flow.floor:
+        return 'acknowledged'
+    if number >= flow.floor + packet.REQUEST_WINDOW:
+        return 'beyond-window'
+    return ''
+
+
 @PACKETS.handles(packet.Cancel)
 def cancel(context, asked, now):
     r"""Withdraw a request that has not been answered."""
@@ -116,7 +124,7 @@
 
 def _cancel_early(flow, number, path):
     r"""Record a cancellation that overtook its request."""
-    if flow.floor <= number < flow.floor + REQUEST_WINDOW:
+    if not _window_fault(flow, number):
         known = states.RequestRecord(path, flow.flow_key, False, 0, b'')
         known.phase = states.Phase.REFUSED
         known.verdict = verdict.Verdict.NOT_RUN
@@ -128,9 +136,7 @@
 @PACKETS.handles(packet.Close)
 def close(context, asked, now):
     r"""End a flow; its serial is never accepted again."""
-    state, flow, path = context
-    return end_flow(
-        state, asked.token.serial, (path.caller, flow.flow_key))
+    return end_flow(context[0], asked.token.serial)
 
 
 @REQUESTS.handles(timer.Tick)
@@ -138,8 +144,6 @@
     r"""Drop flows without a packet for the idle time."""
     if event.name != TICK:
         return [event]
-    opener_by_serial = {
-        serial: opener for opener, serial in state.serial_by_opener.items()}
     messages = []
     for serial, flow in list(state.flow_by_serial.items()):
         busy = any(
@@ -147,12 +151,11 @@
             for item in flow.record_by_number.values())
         if not busy and now - flow.last_seen > state.flow_idle_ms:
             state.counters.flows_expired += 1
-            messages.extend(
-                end_flow(state, serial, opener_by_serial.get(serial)))
+            messages.extend(end_flow(state, serial))
     return messages
 
 
-def end_flow(state, serial, opener):
+def end_flow(state, serial):
     r"""Forget a flow and withdraw its unfinished requests."""
     flow = state.flow_by_serial[serial]
     withdrawn = [
@@ -162,10 +165,24 @@
     for known in flow.record_by_number.values():
         state.answer_bytes -= sum(len(part) for part in known.parts)
     del state.flow_by_serial[serial]
-    state.serial_by_opener.pop(opener, None)
+    del state.serial_by_opener[flow.caller, flow.flow_key]
     return withdrawn
 
 
+def end_all_flows(state):
+    r"""End every flow; waiting requests are refused as not run."""
+    messages = []
+    for serial, flow in list(state.flow_by_serial.items()):
+        messages.extend(
+            packet.Egress(known.path, packet.Refused(
+                flow.flow_key, number, int(verdict.Verdict.NOT_RUN),
+                'flow-ended', verification.RETRY_SOON_MS))
+            for number, known in flow.record_by_number.items()
+            if known.phase == states.Phase.QUEUED)
+        messages.extend(end_flow(state, serial))
+    return messages
+
+
 def _acknowledge(state, flow, acknowledged):
     r"""Drop the records of requests whose answers have arrived."""
     if acknowledged <= flow.floor:
