--- a/poplarstep/configuration/catalogue.py
+++ b/poplarstep/configuration/catalogue.py
@@ -147,6 +147,10 @@
 
     def _rebuild_selectable(self, service):
         targets = self.targets_by_service.get(service, {}).values()
+        if service not in self.service_by_number:
+            # Numbers are not used again; a removed service keeps nothing.
+            self.selectable_by_service.pop(service, None)
+            return
         self.selectable_by_service[service] = tuple(
             item for item in targets
             if not item.leaving and not item.drained
@@ -173,12 +177,12 @@
 
 @APPLIERS.register(model.Target)
 def _put_target(catalogue, target):
-    _drop_target(catalogue, target.number)
+    affected = _drop_target(catalogue, target.number)
     catalogue.target_by_number[target.number] = target
     catalogue.target_by_name[target.name] = target
     catalogue.targets_by_service.setdefault(
         target.service, {})[target.number] = target
-    return {target.service}
+    return affected | {target.service}
 
 
 @APPLIERS.register(model.Removal)
@@ -206,5 +210,8 @@
         return set()
     if catalogue.target_by_name.get(old.name) is old:
         del catalogue.target_by_name[old.name]
-    catalogue.targets_by_service[old.service].pop(number, None)
+    siblings = catalogue.targets_by_service[old.service]
+    del siblings[number]
+    if not siblings:
+        del catalogue.targets_by_service[old.service]
     return {old.service}
--- a/poplarstep/configuration/machine.py
+++ b/poplarstep/configuration/machine.py
@@ -23,35 +23,50 @@
 OUTCOMES_PER_SESSION = 16
 # The least recently used session is dropped beyond this number.
 MAXIMUM_SESSIONS = 4096
+# Latest removals that a refusal can name.
+MAXIMUM_REMOVED = 256
 
 PLANNERS = registry.Registry('command')
 
 
+class Removed(record.Record):
+    r"""Version that removed an object, for the refusal of a late command."""
+
+    __slots__ = ('kind', 'name', 'version')
+
+    def __init__(self, kind: str, name: str, version: int):
+        self.kind = kind
+        self.name = name
+        self.version = version
+
+
 class MachineSnapshot(record.Record):
     r"""Everything that the state machine holds."""
 
     __slots__ = (
         'catalogue', 'next_service', 'next_data_centre', 'next_target',
-        'sessions', 'commands')
+        'sessions', 'commands', 'removed')
 
     def __init__(
             self, catalogue: model.Snapshot, next_service: int,
             next_data_centre: int, next_target: int,
-            sessions: tuple[command.Session, ...], commands: int):
+            sessions: tuple[command.Session, ...], commands: int,
+            removed: tuple[Removed, ...] = ()):
         self.catalogue = catalogue
         self.next_service = next_service
         self.next_data_centre = next_data_centre
         self.next_target = next_target
         self.sessions = sessions
         self.commands = commands
+        self.removed = removed
 
 
 class Machine:
-    r"""Catalogue, number counters and client sessions."""
+    r"""Catalogue, number counters, client sessions and latest removals."""
 
     __slots__ = (
         'catalogue', 'next_service', 'next_data_centre', 'next_target',
-        'session_by_client', 'commands')
+        'session_by_client', 'commands', 'removed_by_name')
 
     def __init__(self):
         self.catalogue = catalogue.Catalogue()
@@ -60,6 +75,7 @@
         self.next_target = 1
         self.session_by_client = {}
         self.commands = 0
+        self.removed_by_name = {}
 
 
 def apply_command(machine, entry):
@@ -103,8 +119,11 @@
         machine.next_service,
         machine.next_data_centre,
         machine.next_target,
-        tuple(machine.session_by_client.values()),
+        tuple(
+            item.replace(outcome_by_sequence=dict(item.outcome_by_sequence))
+            for item in machine.session_by_client.values()),
         machine.commands,
+        tuple(machine.removed_by_name.values()),
     )
 
 
@@ -115,8 +134,12 @@
     machine.next_data_centre = snapshot.next_data_centre
     machine.next_target = snapshot.next_target
     machine.session_by_client = {
-        item.client: item for item in snapshot.sessions}
+        item.client: item.replace(
+            outcome_by_sequence=dict(item.outcome_by_sequence))
+        for item in snapshot.sessions}
     machine.commands = snapshot.commands
+    machine.removed_by_name = {
+        (item.kind, item.name): item for item in snapshot.removed}
 
 
 def _session(machine, client):
@@ -152,6 +175,7 @@
     bodies = plan.unwrap()
     if bodies:
         version += 1
+        _note_removals(machine, bodies, version)
         machine.catalogue.apply([
             model.Change(version, _stamped(body, version))
             for body in bodies])
@@ -164,6 +188,35 @@
     return body.replace(changed=version)
 
 
+def _note_removals(machine, bodies, version):
+    held_by_kind = {
+        'service': machine.catalogue.service_by_number,
+        'target': machine.catalogue.target_by_number,
+    }
+    removed = machine.removed_by_name
+    for body in bodies:
+        if isinstance(body, model.Removal):
+            name = held_by_kind[body.kind][body.number].name
+            removed.pop((body.kind, name), None)
+            removed[body.kind, name] = Removed(body.kind, name, version)
+    while len(removed) > MAXIMUM_REMOVED:
+        del removed[next(iter(removed))]
+
+
+def _absent(machine, kind, name):
+    r"""Refuse a command for an object that is gone or never was."""
+    removed = machine.removed_by_name.get((kind, name))
+    reason = '%s %s does not exist' % (kind, name)
+    if removed is not None:
+        reason += '; it was removed at version %d' % removed.version
+    return result.Failure(reason)
+
+
+def _taken(address, owner):
+    return result.Failure('address %s belongs to service %s: %r' % (
+        address, owner.name, owner))
+
+
 def _check_base(entry, existing, kind):
     r"""Refuse a change that was based on an older state of its object."""
     if existing.changed > entry.based_on:
@@ -185,8 +238,7 @@
             % (body.name, known.changed, known))
     taken = machine.catalogue.service_by_address.get(body.address)
     if taken is not None:
-        return result.Failure('address %s belongs to service %s' % (
-            body.address, taken.name))
+        return _taken(body.address, taken)
     number = machine.next_service
     machine.next_service += 1
     created = model.Service(
@@ -201,7 +253,7 @@
     body = entry.body
     known = machine.catalogue.service_by_name.get(body.name)
     if known is None:
-        return result.Failure('service %s does not exist' % body.name)
+        return _absent(machine, 'service', body.name)
     checked = _check_base(entry, known, 'service')
     if isinstance(checked, result.Failure):
         return checked
@@ -210,8 +262,7 @@
     if body.address is not None and body.address != known.address:
         taken = machine.catalogue.service_by_address.get(body.address)
         if taken is not None:
-            return result.Failure('address %s belongs to service %s' % (
-                body.address, taken.name))
+            return _taken(body.address, taken)
         bodies = _without_former(machine, body.address, known.number)
         former = [
             item for item in known.former_addresses + (known.address,)
@@ -238,8 +289,7 @@
 def _remove_service(machine, entry):
     known = machine.catalogue.service_by_name.get(entry.body.name)
     if known is None:
-        return result.Failure(
-            'service %s does not exist' % entry.body.name)
+        return _absent(machine, 'service', entry.body.name)
     checked = _check_base(entry, known, 'service')
     if isinstance(checked, result.Failure):
         return checked
@@ -274,7 +324,7 @@
     body = entry.body
     known = machine.catalogue.target_by_name.get(body.name)
     if known is None:
-        return result.Failure('target %s does not exist' % body.name)
+        return _absent(machine, 'target', body.name)
     checked = _check_base(entry, known, 'target')
     if isinstance(checked, result.Failure):
         return checked
