Test dissemination on schedules of faults, and correct what they show

Cause: nothing checked versions, leases and convergence under loss, duplication, delay, pauses, cuts, restarts and a change of leader.

Faults found: - A restarted node counted its polls from zero again, so a late answer to the former run's poll of the same number extended its lease. - A relay answered polls at times that had nothing to do with its own lease; each level cost up to 900 ms, and nodes below three levels of relays had no lease at times. - An agent whose wall clock went back was ignored for ever, and one whose target had been removed was never listed again, because it did not announce itself a second time. - A poll that was overtaken replaced the later one, which was not answered.

Change: poll sequences start at the incarnation. A relay answers when its own lease is extended.

Conclusion: the stated lease bounds hold on all schedules; each check fails when its mechanism is off.

--- a/poplarstep/configuration/tests/test_codec.py
+++ b/poplarstep/configuration/tests/test_codec.py
@@ -23,6 +23,8 @@
     str: strategies.text(max_size=8),
     bytes: strategies.binary(max_size=8),
     type(None): strategies.none(),
+    address.Address: strategies.binary(min_size=6, max_size=6).map(
+        address.from_bytes),
 }
 
 
--- a/poplarstep/dissemination/message.py
+++ b/poplarstep/dissemination/message.py
@@ -33,7 +33,8 @@
     node : str
         Name of the subscriber.
     sequence : int
-        Matches the ``Update`` to the poll.
+        Matches the ``Update`` to the poll; it starts at the incarnation, so
+        that no run takes an answer to an earlier run for its own.
     version : int
         Highest configuration version that the subscriber holds.
     announcements : tuple of Announcement
@@ -100,6 +101,12 @@
         self.version = version
 
 
+class Confirmed(record.Record):
+    r"""The lease of this node has been extended."""
+
+    __slots__ = ()
+
+
 class Announced(record.Record):
     r"""A target announced itself to the agent of this node."""
 
@@ -107,3 +114,15 @@
 
     def __init__(self, announcement: model.Announcement):
         self.announcement = announcement
+
+
+class Outranked(record.Record):
+    r"""The configuration holds a later incarnation of this node's target.
+
+    ``incarnation`` is the one that it holds.
+    """
+
+    __slots__ = ('incarnation',)
+
+    def __init__(self, incarnation: int):
+        self.incarnation = incarnation
--- a/poplarstep/dissemination/publisher.py
+++ b/poplarstep/dissemination/publisher.py
@@ -20,6 +20,10 @@
 TICK = 'publisher'
 TICK_PERIOD_MS = 50
 HOLD_MS = 400
+# A relay answers when its own lease is extended, about every 450 ms, and
+# holds polls a little longer than that. If it answered at other times, each
+# level of relays would cost a node up to 900 ms of its lease, not 450 ms.
+RELAY_HOLD_MS = 600
 # Longest lease that an update grants. With a commit and a push of under
 # 500 ms, a data centre taken out receives no packet after 3 s.
 LEASE_MS = 2500
@@ -50,13 +54,16 @@
         its catalogue.
     leader : callable
         Returns the inbox of the control leader, or None.
+    hold_ms : int
+        A poll is answered after this time if nothing happens.
     """
 
     __slots__ = (
-        'catalogue', 'gathered', 'lease_left', 'leader', 'waiting_by_node',
-        'refused', 'snapshots', 'updates')
+        'catalogue', 'gathered', 'lease_left', 'leader', 'hold_ms',
+        'waiting_by_node', 'refused', 'snapshots', 'updates')
 
-    def __init__(self, catalogue, gathered, lease_left, leader):
+    def __init__(self, catalogue, gathered, lease_left, leader, hold_ms):
+        self.hold_ms = hold_ms
         self.catalogue = catalogue
         self.gathered = gathered
         self.lease_left = lease_left
@@ -67,9 +74,10 @@
         self.updates = 0
 
 
-def make_publisher(catalogue, gathered, lease_left, leader):
+def make_publisher(
+        catalogue, gathered, lease_left, leader, hold_ms=HOLD_MS):
     r"""Return the state of a publisher that holds no polls."""
-    return PublisherState(catalogue, gathered, lease_left, leader)
+    return PublisherState(catalogue, gathered, lease_left, leader, hold_ms)
 
 
 @PUBLISHER.handles(effect.Received)
@@ -80,6 +88,10 @@
     poll = event.message
     gathering.take_in(state.gathered, poll, now)
     waiting = WaitingPoll(event.source, poll, now)
+    held = state.waiting_by_node.get(poll.node)
+    if held is not None and _precedes(poll, held.poll):
+        # An overtaken poll must not replace the one that is awaited.
+        return []
     state.waiting_by_node.pop(poll.node, None)
     if _must_answer(state, waiting, now):
         return [_answer(state, waiting, now)]
@@ -105,10 +117,26 @@
     return [event] + _flush(state, now)
 
 
+@PUBLISHER.handles(message.Confirmed)
+def confirmed(state, event, now):
+    r"""Pass on a lease of this relay while most of it is left."""
+    return _answer_all(state, list(state.waiting_by_node.values()), now)
+
+
+def _precedes(poll, other):
+    return (
+        poll.positions[0].incarnation == other.positions[0].incarnation
+        and poll.sequence < other.sequence)
+
+
 def _flush(state, now):
     ready = [
         item for item in state.waiting_by_node.values()
         if _must_answer(state, item, now)]
+    return _answer_all(state, ready, now)
+
+
+def _answer_all(state, ready, now):
     for item in ready:
         del state.waiting_by_node[item.poll.node]
     return [_answer(state, item, now) for item in ready]
@@ -117,7 +145,7 @@
 def _must_answer(state, waiting, now):
     return (
         waiting.poll.version < state.catalogue.version
-        or now - waiting.arrived_at >= HOLD_MS
+        or now - waiting.arrived_at >= state.hold_ms
         or state.lease_left(now) <= 0)
 
 
--- a/poplarstep/dissemination/subscriber.py
+++ b/poplarstep/dissemination/subscriber.py
@@ -45,8 +45,8 @@
     __slots__ = (
         'node', 'role', 'incarnation', 'catalogue', 'upstreams', 'current',
         'leader', 'sequence', 'sent_at', 'waiting', 'not_before',
-        'lease_until', 'gathered', 'own_announcement', 'reported_until',
-        'confirmed', 'switches')
+        'lease_until', 'gathered', 'own_announcement', 'own_shown',
+        'reported_until', 'confirmed', 'switches')
 
     def __init__(
             self, node, role, incarnation, catalogue, upstreams, gathered):
@@ -57,13 +57,14 @@
         self.upstreams = tuple(upstreams)
         self.current = 0
         self.leader = None
-        self.sequence = 0
+        self.sequence = incarnation
         self.sent_at = 0
         self.waiting = False
         self.not_before = 0
         self.lease_until = 0
         self.gathered = gathered
         self.own_announcement = None
+        self.own_shown = False
         self.reported_until = -1
         self.confirmed = False
         self.switches = 0
@@ -100,8 +101,7 @@
 def announced(state, event, now):
     r"""Report this node's own target at once."""
     state.own_announcement = event.announcement
-    state.gathered.announcement_by_name[event.announcement.name] = (
-        event.announcement)
+    state.incarnation = event.announcement.incarnation
     return [_poll(state, now)]
 
 
@@ -117,8 +117,11 @@
     changed = _take_in(state, update)
     _judge_upstream(state, event.source, update, now)
     messages = _lease_change(state, now)
+    if state.confirmed:
+        messages.append(message.Confirmed())
     if changed:
         messages.append(message.CatalogueChanged(state.catalogue.version))
+        messages.extend(_check_own_target(state))
     if now >= state.not_before:
         messages.append(_poll(state, now))
     return messages
@@ -130,6 +133,28 @@
     return state.catalogue.apply(update.changes)
 
 
+def _check_own_target(state):
+    r"""Notice a configuration that holds a later incarnation.
+
+    A wall clock that went back gives a restarted agent a lower incarnation
+    than that of its former run, and its announcements would be ignored for
+    ever. A run that was shown once has been replaced by a later one and
+    stays silent, so that two processes of one name do not outbid each
+    other.
+    """
+    own = state.own_announcement
+    if own is None:
+        return []
+    shown = state.catalogue.target_by_name.get(own.name)
+    if shown is None or state.own_shown:
+        return []
+    if shown.incarnation == own.incarnation:
+        state.own_shown = True
+    if shown.incarnation <= own.incarnation:
+        return []
+    return [effect.Loop(message.Outranked(shown.incarnation))]
+
+
 def _judge_upstream(state, source, update, now):
     r"""Extend the lease, or look for an upstream that can confirm."""
     if update.lease_ms > 0 and update.version >= state.catalogue.version:
@@ -151,6 +176,7 @@
 
 
 def _poll(state, now):
+    _keep_announcing(state)
     state.sequence += 1
     state.sent_at = now
     state.waiting = True
@@ -166,6 +192,17 @@
         (own,) + positions))
 
 
+def _keep_announcing(state):
+    r"""Announce the own target again if the configuration lost it.
+
+    A target that was silent for a while has been removed; the agent that
+    resumes must be listed again without waiting for its target's news.
+    """
+    own = state.own_announcement
+    if own is not None:
+        state.gathered.announcement_by_name[own.name] = own
+
+
 def _lease_change(state, now):
     holds = lease_holds(state, now)
     if holds == state.confirmed:
--- /dev/null
+++ b/poplarstep/dissemination/tests/schedule.py
@@ -0,0 +1,147 @@
+r"""Checks that run beside the nodes of a schedule."""
+
+from poplarstep.configuration import command
+from poplarstep.configuration import model as objects
+from poplarstep.core import address
+from poplarstep.dissemination import message
+from poplarstep.dissemination import model
+from poplarstep.dissemination import subscriber
+
+CHECK_MS = 50
+# Stated bounds: see design.md, R4, R10 and section 5.
+LEASE_AFTER_POLL_MS = 2500
+LEASE_AFTER_CHANGE_MS = 3000
+CONVERGENCE_MS = 4000
+
+
+class WatchedNetwork(model.Network):
+    r"""Network that checks every node's version and lease."""
+
+    __slots__ = ('cluster', 'sent_by_poll', 'permitted', 'version_by_node')
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.sent_by_poll = {}
+        self.permitted = {}
+        self.version_by_node = {}
+        self.watch = self.check
+        self.cluster = model.Cluster(self)
+        self.at(0, self._sweep)
+
+    def _send(self, node, item):
+        if isinstance(item.message, message.Poll):
+            self.sent_by_poll[node, item.message.sequence] = self.now
+        super()._send(node, item)
+
+    def _deliver(self, source, destination, data):
+        node = self.node_by_address.get(destination)
+        if isinstance(data, message.Update) and node is not None:
+            # An update for a poll of the former run permits nothing.
+            sent = self.sent_by_poll.get((node, data.sequence))
+            if sent is not None:
+                self.permitted[node] = max(
+                    self.permitted.get(node, 0),
+                    sent + min(data.lease_ms, LEASE_AFTER_POLL_MS))
+        super()._deliver(source, destination, data)
+
+    def check(self, node):
+        r"""Check one node now."""
+        version = node.catalogue.version
+        assert version >= self.version_by_node.get(node, 0), (
+            'version went back')
+        self.version_by_node[node] = version
+        if node.subscribed is None or not subscriber.lease_holds(
+                node.subscribed, self.now + node.offset):
+            return
+        assert self.now < self.permitted.get(node, 0), (
+            'lease outlasts its poll')
+        unknown = self.cluster.committed_at.get(version + 1)
+        assert unknown is None or (
+            self.now - unknown <= LEASE_AFTER_CHANGE_MS), (
+                'lease holds without a change')
+
+    def _sweep(self):
+        for node in list(self.node_by_address.values()):
+            self.check(node)
+        self.at(self.now + CHECK_MS, self._sweep)
+
+
+class World:
+    r"""Three control hosts, two levels of relays, and agents."""
+
+    __slots__ = ('network', 'cluster', 'relays', 'agents', 'sequence')
+
+    def __init__(self, seed, agents=3):
+        self.network = WatchedNetwork(seed)
+        self.cluster = self.network.cluster
+        self.sequence = 0
+        for index in range(3):
+            model.add_control(self.cluster, index)
+        seeds = tuple(host.address for host in self.cluster.hosts)
+        self.relays = [self.add_relay(index, seeds) for index in range(2)]
+        upper = tuple(item.address for item in self.relays)
+        self.relays += [
+            self.add_relay(index, upper[index % 2:] + upper[:index % 2])
+            for index in (2, 3)]
+        self.agents = [self.add_agent(index) for index in range(agents)]
+        self.create_service()
+
+    def add_relay(self, index, upstreams):
+        r"""Start a balancer."""
+        return model.add_node(
+            self.network, 'balancer-%d' % index, 'balancer',
+            model.place(2, index), upstreams)
+
+    def add_agent(self, index, incarnation=1):
+        r"""Start an agent below the lower relays."""
+        return model.add_node(
+            self.network, 'agent-%d' % index, 'agent',
+            model.place(3, index),
+            tuple(item.address for item in self.relays[2:]), incarnation)
+
+    def nodes(self):
+        r"""Return the nodes that subscribe."""
+        return [item for item in self.network.node_by_address.values()
+                if item.subscribed is not None]
+
+    def run_command(self, body):
+        r"""Commit a command that is based on the present version."""
+        self.sequence += 1
+        held = self.cluster.machine_by_name[self.cluster.leader.name]
+        return self.cluster.commit(command.Command(
+            'test', self.sequence, held.catalogue.version, body))
+
+    def create_service(self):
+        r"""Commit the service that the agents announce."""
+        self.run_command(command.CreateService(
+            'certs', address.Address('10.0.0.1', 5000), 0, 0))
+
+    def toggle(self, out=True):
+        r"""Take a data centre out or in; a version passes."""
+        return self.run_command(command.SetDataCentre('maadi', out))
+
+    def announce(self, index, incarnation=1, revision=1):
+        r"""Let an agent learn of its target."""
+        node = self.agents[index]
+        self.network.give(node, message.Announced(
+            self.announcement(index, incarnation, revision)))
+
+    def announcement(self, index, incarnation=1, revision=1):
+        r"""Return what an agent announces."""
+        return objects.Announcement(
+            'agent-%d' % index, 'certs', 'giza', model.place(4, index),
+            incarnation, revision, 1, 9, False)
+
+    def settled(self):
+        r"""Return whether all nodes have the change and a lease."""
+        version = max(self.cluster.committed_at)
+        return all(
+            item.catalogue.version == version and subscriber.lease_holds(
+                item.subscribed, self.network.now + item.offset)
+            for item in self.nodes())
+
+    def heal(self):
+        r"""End all faults."""
+        self.network.faults = model.Faults()
+        for node in self.network.node_by_address.values():
+            node.paused_until = min(node.paused_until, self.network.now)
--- /dev/null
+++ b/poplarstep/dissemination/tests/test_schedule.py
@@ -0,0 +1,349 @@
+"""Dissemination under faults of the network, the clocks and the hosts."""
+
+import functools
+import unittest.mock
+
+import pytest
+
+from poplarstep.configuration import catalogue
+from poplarstep.configuration import model as objects
+from poplarstep.core import effect
+from poplarstep.dissemination import message
+from poplarstep.dissemination import model
+from poplarstep.dissemination import publisher
+from poplarstep.dissemination import subscriber
+from poplarstep.dissemination.tests import schedule
+
+SEEDS = range(12)
+STEPS = 12
+STEP_MS = 1500
+
+
+def disturb(world, generator):
+    r"""Draw the faults of one step and a change or two."""
+    network = world.network
+    network.faults = model.Faults(
+        generator.choice((0, 0, 0.1, 0.3)), generator.choice((0, 0.2)),
+        generator.choice(((1, 3), (1, 120))), generator.choice((0, 0.1)),
+        4000)
+    nodes = world.nodes() + world.cluster.hosts
+    for _ in range(generator.randrange(3)):
+        network.faults.cuts.add((
+            generator.choice(nodes).name, generator.choice(nodes).name))
+    if generator.random() < 0.5:
+        generator.choice(nodes).paused_until = (
+            network.now + generator.randrange(4000))
+    if generator.random() < 0.3:
+        change_leader(world)
+    for _ in range(generator.choice((1, 1, 2, 300))):
+        world.toggle(out=generator.random() < 0.5)
+    if generator.random() < 0.3:
+        restart(world, generator.randrange(3))
+
+
+def change_leader(world):
+    r"""Cut the leader off; another one leads when its lease has ended."""
+    cluster = world.cluster
+    successor = next(
+        host for host in cluster.hosts if host is not cluster.leader)
+    cluster.lose_leader()
+    world.network.run(model.LEADER_LEASE_MS)
+    cluster.elect(successor)
+
+
+def restart(world, index):
+    r"""Start an agent again; it has missed all changes."""
+    world.network.stop(world.agents[index])
+    world.agents[index] = world.add_agent(
+        index, world.network.now + 2)
+
+
+def play(seed):
+    r"""Run one schedule; everything settles after its end."""
+    world = schedule.World(seed)
+    world.network.run(2000)
+    for _ in range(STEPS):
+        disturb(world, world.network.random)
+        world.network.run(STEP_MS)
+    world.heal()
+    world.network.run(schedule.CONVERGENCE_MS)
+    assert world.settled(), 'a node lacks the change after 4 s'
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_schedule(seed):
+    r"""Guards against old versions, long leases and nodes left behind."""
+    play(seed)
+
+
+def count_from_arrival(state, source, update, now):
+    r"""Count the lease from the arrival of the answer."""
+    state.sent_at = now
+    return JUDGE(state, source, update, now)
+
+
+def confirm_for_ever(cluster, host):
+    r"""Confirm without a leader lease."""
+    return host is cluster.leader or host.name == 'control-0'
+
+
+def restore_any(held, snapshot):
+    r"""Take any snapshot, also an older one."""
+    held.version = min(held.version, snapshot.version - 1)
+    return RESTORE(held, snapshot)
+
+
+def ignore_sequence(state, event, now):
+    r"""Take any update for the answer to the latest poll."""
+    if isinstance(event.message, message.Update):
+        event = event.replace(
+            message=event.message.replace(sequence=state.sequence))
+    return RECEIVED(state, event, now)
+
+
+JUDGE = subscriber._judge_upstream
+RESTORE = catalogue.Catalogue.restore
+RECEIVED = subscriber.received
+patch = unittest.mock.patch
+HANDLERS = subscriber.SUBSCRIBER.handler_by_type
+RECEIVED_TYPE = next(
+    key for key, value in HANDLERS.items() if value is RECEIVED)
+# What is switched off, and the check that must notice it.
+MECHANISMS = {
+    'lease counts from the sending of the poll': (functools.partial(
+        patch.object, subscriber, '_judge_upstream', count_from_arrival),
+        'lease outlasts'),
+    'a relay passes on what is left': (functools.partial(
+        patch.object, model, 'relay_lease',
+        lambda node, now: publisher.LEASE_MS), 'lease holds without'),
+    'the leader confirms under its lease': (functools.partial(
+        patch.object, model.Cluster, 'confirms', confirm_for_ever),
+        'lease holds without'),
+    'an older snapshot is ignored': (functools.partial(
+        patch.multiple, catalogue.Catalogue, restore=restore_any,
+        changes_since=lambda held, version: None), 'version went back'),
+    'an update belongs to its poll': (functools.partial(
+        patch.dict, HANDLERS, {RECEIVED_TYPE: ignore_sequence}),
+        'lease outlasts'),
+}
+
+
+@pytest.mark.parametrize('name', MECHANISMS)
+def test_check_notices_missing_mechanism(name):
+    r"""Guards against checks that would pass without the mechanism."""
+    switch_off, noticed = MECHANISMS[name]
+    with switch_off(), pytest.raises(AssertionError, match=noticed):
+        for seed in range(30):
+            play(seed)
+
+
+def update(sequence, version, lease_ms=2500):
+    r"""Return an update without news."""
+    return message.Update(sequence, version, (), None, lease_ms, None)
+
+
+def cut_upstreams(world, node):
+    r"""Cut a node off from the control hosts, in both directions."""
+    for host in world.cluster.hosts:
+        world.network.faults.cuts.update(
+            {(node.name, host.name), (host.name, node.name)})
+
+
+def late_answer_to_former_run(world):
+    r"""A restarted agent gets the answer to a poll of its former run."""
+    agent = world.agents[0]
+    world.network.faults.cuts.update(
+        (item.name, agent.name) for item in world.relays)
+    world.network.run(3000)
+    world.network.stop(agent)
+    world.agents[0] = fresh = world.add_agent(0, incarnation=10**9)
+    world.network.run(700)
+    # The late answer is to the poll with the same rank in the former run.
+    polls = world.network.sent_by_poll
+    former, present = [
+        sorted(sequence for node, sequence in polls if node is item)
+        for item in (agent, fresh)]
+    world.network._deliver(
+        world.relays[2].address, fresh.address,
+        update(former[len(present) - 1], 1))
+    assert not subscriber.lease_holds(
+        fresh.subscribed, world.network.now + fresh.offset)
+
+
+def old_update(world):
+    r"""An update for an older poll neither confirms nor ends the wait."""
+    agent = world.agents[0]
+    state = agent.subscribed
+    before = state.lease_until, state.sequence
+    world.network._deliver(
+        world.relays[2].address, agent.address,
+        update(state.sequence - 1, 99))
+    assert (state.lease_until, state.sequence) == before
+    assert agent.catalogue.version == 1
+
+
+def upstream_is_behind(world):
+    r"""A relay that answers but lacks a change is left for another."""
+    agent = world.agents[0]
+    state = agent.subscribed
+    world.toggle()
+    world.network.run(500)
+    switches = state.switches
+    world.network._deliver(
+        state.upstreams[state.current], agent.address,
+        update(state.sequence, 1))
+    assert state.switches == switches + 1
+    world.network.run(schedule.CONVERGENCE_MS)
+
+
+def dead_seeds(world):
+    r"""All control hosts are unreachable; one returns."""
+    relay = world.relays[0]
+    cut_upstreams(world, relay)
+    world.network.run(20_000)
+    assert not subscriber.lease_holds(
+        relay.subscribed, world.network.now + relay.offset)
+    world.toggle()
+    world.network.faults.cuts.clear()
+    world.network.run(schedule.CONVERGENCE_MS)
+
+
+def half_dead_upstream(world):
+    r"""A control host receives polls and never answers."""
+    relay = world.relays[0]
+    leader = world.cluster.leader
+    world.network.faults.cuts.add((leader.name, relay.name))
+    cut_from = world.network.now
+    world.network.run(2000)
+    assert relay.subscribed.switches, 'the silent upstream is kept'
+    assert world.network.now - cut_from <= 2000
+    world.network.faults.cuts.clear()
+    world.network.run(schedule.CONVERGENCE_MS)
+
+
+def cut_from_control_only(world):
+    r"""A relay that another relay reaches goes on."""
+    relay = world.add_relay(9, (
+        world.cluster.hosts[0].address, world.relays[0].address))
+    world.network.run(1500)
+    cut_upstreams(world, relay)
+    world.network.run(3000)
+    world.toggle()
+    world.network.run(schedule.CONVERGENCE_MS)
+    assert relay.catalogue.version == 2
+
+
+def leader_lost(world):
+    r"""An election within the lease interrupts no balancer."""
+    lapsed = []
+    world.cluster.lose_leader()
+    for _ in range(10):
+        world.network.run(model.LEADER_LEASE_MS // 10)
+        lapsed.extend(lapsed_relays(world))
+    world.cluster.elect(world.cluster.hosts[1])
+    world.toggle()
+    world.network.faults.cuts.clear()
+    for _ in range(40):
+        world.network.run(100)
+        lapsed.extend(lapsed_relays(world))
+    assert not lapsed, 'a lease lapsed during an election'
+
+
+def lapsed_relays(world):
+    r"""Return the relays whose lease does not hold now."""
+    return [item.name for item in world.relays if not subscriber.lease_holds(
+        item.subscribed, world.network.now + item.offset)]
+
+
+def paused_relay(world):
+    r"""A relay that resumes after a change holds no lease without it."""
+    relay = world.relays[0]
+    relay.paused_until = world.network.now + 10_000
+    world.network.run(1000)
+    world.toggle()
+    world.network.run(8999)
+    assert not subscriber.lease_holds(
+        relay.subscribed, world.network.now + relay.offset)
+    world.network.run(schedule.CONVERGENCE_MS)
+
+
+def hundreds_of_changes(world):
+    r"""A node that missed hundreds of changes gets the smaller snapshot."""
+    world.network.stop(world.agents[0])
+    for _ in range(300):
+        world.toggle()
+    fresh = world.agents[0] = world.add_agent(0, 10**9)
+    world.network.run(schedule.CONVERGENCE_MS)
+    assert not fresh.catalogue.changes, 'changes were sent, not a snapshot'
+    world.toggle()
+    world.network.run(500)
+    assert len(fresh.catalogue.changes) == 1, 'a snapshot was sent'
+
+
+SCENARIOS = (
+    late_answer_to_former_run, old_update, upstream_is_behind, dead_seeds,
+    half_dead_upstream, cut_from_control_only, leader_lost, paused_relay,
+    hundreds_of_changes,
+)
+
+
+@pytest.mark.parametrize(
+    'scenario', SCENARIOS, ids=lambda item: item.__name__)
+def test_scenario(scenario):
+    r"""Guards against one named fault; its docstring says which."""
+    world = schedule.World(seed=1)
+    world.network.run(3000)
+    assert world.settled()
+    scenario(world)
+    world.heal()
+    world.network.run(schedule.CONVERGENCE_MS)
+    assert world.settled(), 'a node lacks the change after 4 s'
+
+
+ANNOUNCED = (
+    # incarnation in the configuration, of the announcement, shown at last
+    (None, 5, 5),
+    (4, 5, 5),
+    (7, 5, 8),
+)
+
+
+@pytest.mark.parametrize('held, own, shown', ANNOUNCED)
+def test_announcement_reaches_the_configuration(held, own, shown):
+    r"""Guards against an agent that is ignored for ever.
+
+    Its clock may have gone back, or its target may have been removed.
+    """
+    state = subscriber.make_subscriber(
+        'agent-0', 'agent', own, catalogue.Catalogue(),
+        (model.place(2, 0),))
+    held_target = functools.partial(target, 1)
+    if held is not None:
+        state.catalogue.apply([objects.Change(1, held_target(held))])
+    announcement = objects.Announcement(
+        'agent-0', 'certs', 'giza', model.place(4, 0), own, 1, 1, 9, False)
+    sent = subscriber.announced(
+        state, message.Announced(announcement), 0)[0].message
+    outranked = subscriber._check_own_target(state)
+    if shown != own:
+        assert outranked == [effect.Loop(message.Outranked(held))]
+        announcement = announcement.replace(incarnation=shown)
+        sent = subscriber.announced(
+            state, message.Announced(announcement), 1)[0].message
+    assert sent.announcements == (announcement,)
+    state.catalogue.apply([objects.Change(2, target(2, shown))])
+    assert subscriber._check_own_target(state) == []
+    assert subscriber._poll(state, 2).message.announcements == ()
+    state.catalogue.apply([objects.Change(3, objects.Removal('target', 1))])
+    assert subscriber._poll(state, 3).message.announcements == (
+        announcement,), 'a removed target is not announced again'
+    state.catalogue.apply([objects.Change(4, target(4, shown + 1))])
+    assert subscriber._check_own_target(state) == [], (
+        'a replaced run outbids its successor')
+
+
+def target(version, incarnation):
+    r"""Return the agent's target as the configuration holds it."""
+    return objects.Target(
+        'agent-0', 1, 1, 1, model.place(4, 0), incarnation, 1, 1, 9, False,
+        False, version)
--- a/poplarstep/programs/balancer.py
+++ b/poplarstep/programs/balancer.py
@@ -76,7 +76,7 @@
     published = publisher.make_publisher(
         catalogue, subscribed.gathered,
         lambda now: max(0, subscribed.lease_until - now),
-        lambda: None)
+        lambda: None, publisher.RELAY_HOLD_MS)
     serve_anyway = settings['without-control'] == 'serve'
     generator = random.Random()
     now = clock.now_ms()
--- a/poplarstep/requests/announcing.py
+++ b/poplarstep/requests/announcing.py
@@ -27,6 +27,19 @@
     return [event, _announcement(state)]
 
 
+@ANNOUNCE.handles(dissemination.Outranked)
+def outranked(state, event, now):
+    r"""Rise above the incarnation of a former run with a later clock.
+
+    No flow has been accepted yet, because the configuration has not shown
+    this run; no token carries the former number.
+    """
+    if state.target is None or event.incarnation < state.incarnation:
+        return []
+    state.incarnation = event.incarnation + 1
+    return [_announcement(state)]
+
+
 @ANNOUNCE.handles(message.Leave)
 def leave(state, event, now):
     r"""Take no new work from now on and say so."""
