--- a/poplarstep/routing/assembly.py
+++ b/poplarstep/routing/assembly.py
@@ -43,7 +43,7 @@
     published = publisher.make_publisher(
         catalogue, subscribed.gathered,
         lambda now: max(0, subscribed.lease_until - now),
-        lambda: None)
+        lambda: None, publisher.RELAY_HOLD_MS)
     serve_anyway = settings['without-control'] == 'serve'
     balancer = states.make_balancer_state(
         catalogue,
