Give a target no work that it may not bear after a restart

Cause: the ramp started at the announced cold limit, which may be false; a broken connection halved the ramp instead of resetting it; and a new run of the agent started work beside requests of its former run. Change: the ramp starts at 1 whatever is announced. After a broken connection the ramp is cold and nothing is dispatched until the target announces itself. An agent gives its target no work and refuses opens for 1,500 ms after the first announcement. Conclusion: the pause covers requests of up to 1.5 s; longer ones of a former agent run can still overlap.

--- a/poplarstep/requests/admission.py
+++ b/poplarstep/requests/admission.py
@@ -30,6 +30,9 @@
 LATENCY_SAMPLES = 32
 # Requests that wait at one agent; each holds at most one datagram.
 QUEUE_CAPACITY = 2048
+# A target may announce more than it bears when cold, so its claim raises
+# nothing: above this limit the ramp goes by completed requests only.
+COLD_LIMIT = 1
 
 ADMISSION = stage.Stage('admission')
 
@@ -49,18 +52,22 @@
     in_flight, earlier : set of RequestKey
         Requests that the target is running; those of them that were sent
         to an earlier run of the target.
+    lost : bool
+        A connection to the target broke and it has not announced itself
+        since; it may be another run, even of another service.
     """
 
     __slots__ = (
-        'agent', 'ramp', 'queue', 'in_flight', 'earlier',
+        'agent', 'ramp', 'queue', 'in_flight', 'earlier', 'lost',
         'target_incarnation', 'recent_ms', 'latency_ms')
 
     def __init__(self, agent, queue):
         self.agent = agent
-        self.ramp = ramp.make_ramp(cold_limit=1, ceiling=1)
+        self.ramp = ramp.make_ramp(COLD_LIMIT, ceiling=1)
         self.queue = queue
         self.in_flight = set()
         self.earlier = set()
+        self.lost = False
         self.target_incarnation = None
         self.recent_ms = collections.deque(maxlen=LATENCY_SAMPLES)
         self.latency_ms = 0.0
@@ -81,11 +88,12 @@
 @ADMISSION.handles(message.TargetState)
 def target_state(state, event, now):
     r"""Take in an announcement; a new incarnation starts cold."""
+    state.lost = False
     if event.incarnation != state.target_incarnation:
         state.target_incarnation = event.incarnation
         # Requests in flight belong to the run that ended; their calls
         # still report, but not to the new ramp.
-        state.ramp = ramp.make_ramp(event.cold_limit, event.slots)
+        state.ramp = ramp.make_ramp(COLD_LIMIT, event.slots)
         state.earlier |= state.in_flight
     return [event]
 
@@ -136,13 +144,16 @@
     if event.key not in state.in_flight:
         return []
     state.agent.counters.failed += 1
-    _finished(state, event, False, now)
+    current = _finished(state, event, False, now)
+    if current and message.connection_broke(event):
+        state.lost = True
+    if current and (state.lost or not event.ran):
+        state.ramp.reset_cold()
     messages = []
     if event.ran:
         messages = _refuse(
             state, event.key, verdict.Verdict.MAY_HAVE_RUN, event.reason)
     else:
-        state.ramp.reset_cold()
         messages = _requeue(state, event, now)
     return messages + _dispatch(state, now)
 
@@ -176,18 +187,24 @@
 
 
 def _finished(state, event, succeeded, now):
-    r"""Free the slot; tell the ramp unless the target restarted since."""
+    r"""Free the slot; tell the ramp unless the target restarted since.
+
+    Returns whether the request was sent to the present run of the target.
+    """
     state.in_flight.remove(event.key)
     if event.key in state.earlier:
         state.earlier.remove(event.key)
-        return
+        return False
     state.ramp.finished(now, event.elapsed_ms, succeeded)
+    return True
 
 
 def _dispatch(state, now):
     r"""Send waiting requests to the target while the ramp allows it."""
     messages = []
-    while state.agent.target is not None and state.ramp.may_start(now):
+    while (
+            not state.lost and states.works(state.agent, now)
+            and state.ramp.may_start(now)):
         taken = state.queue.take(now)
         messages.extend(_expire(state, taken.expired))
         if taken.key is None:
--- a/poplarstep/requests/announcing.py
+++ b/poplarstep/requests/announcing.py
@@ -18,12 +18,18 @@
 
 ANNOUNCE = stage.Stage('announce')
 
+# A target may still run requests that a former run of this agent sent; none
+# is added before they have had this time to end.
+RESTART_GRACE_MS = 1500
+
 
 @ANNOUNCE.handles(message.TargetState)
 def target_state(state, event, now):
     r"""Take in an announcement; report it upstream if it is news."""
     known = state.target
     state.target = event
+    if known is None:
+        state.works_from = now + RESTART_GRACE_MS
     if known is not None and _public(known) == _public(event):
         return [event]
     ended = []
--- a/poplarstep/requests/message.py
+++ b/poplarstep/requests/message.py
@@ -134,6 +134,26 @@
         self.elapsed_ms = elapsed_ms
 
 
+# Failures of a call that leave the connection, and so the target, in place.
+ANSWERED_REASONS = ('target-status-', 'target-timeout', 'target-cancelled')
+
+
+def connection_broke(failed):
+    r"""Return whether a failed call tells that the target may be gone.
+
+    Examples
+    ========
+
+    >>> key = RequestKey(1, 1)
+    >>> connection_broke(TargetFailed(key, True, 'target-status-500', 0.0))
+    False
+    >>> connection_broke(TargetFailed(key, False, 'target-unreachable', 0.0))
+    True
+
+    """
+    return not failed.reason.startswith(ANSWERED_REASONS)
+
+
 class TargetState(record.Record):
     r"""What the target announced to its agent.
 
--- a/poplarstep/requests/state.py
+++ b/poplarstep/requests/state.py
@@ -90,11 +90,15 @@
         A flow without a packet for this long is dropped.
     answer_bytes_limit : int
         Bytes of recorded answers that are kept for resends.
+    works_from : int or None
+        Time before which the target is given no work; None until it has
+        announced itself.
     """
 
     __slots__ = (
         'node', 'data_centre', 'agent_address', 'incarnation', 'catalogue',
-        'flow_idle_ms', 'answer_bytes_limit', 'target', 'revision',
+        'flow_idle_ms', 'answer_bytes_limit', 'target', 'works_from',
+        'revision',
         'leaving', 'next_serial', 'flow_by_serial', 'serial_by_opener',
         'answer_bytes', 'counters')
 
@@ -109,6 +113,7 @@
         self.flow_idle_ms = flow_idle_ms
         self.answer_bytes_limit = answer_bytes_limit
         self.target = None
+        self.works_from = None
         self.revision = 0
         self.leaving = False
         self.next_serial = 1
@@ -127,6 +132,11 @@
         flow_idle_ms, answer_bytes_limit)
 
 
+def works(state, now):
+    r"""Return whether the target may be given work by this agent run."""
+    return state.target is not None and now >= state.works_from
+
+
 def own_target(state):
     r"""Return the catalogue's target of this agent run, or None.
 
--- a/poplarstep/requests/verification.py
+++ b/poplarstep/requests/verification.py
@@ -26,7 +26,7 @@
     r"""Check one packet; refuse it or pass it on verified."""
     forwarded = event.forwarded
     if isinstance(forwarded.packet, packet.Open):
-        reason = _open_fault(state, forwarded)
+        reason = _open_fault(state, forwarded, now)
         if reason:
             return [refuse_open(state, event.source, forwarded, reason)]
         return [message.VerifiedOpen(event.source, forwarded)]
@@ -36,7 +36,7 @@
     return [message.VerifiedPacket(forwarded.path, forwarded.packet)]
 
 
-def _open_fault(state, forwarded):
+def _open_fault(state, forwarded, now):
     r"""Return why an ``Open`` can't be accepted, or an empty string."""
     target = states.own_target(state)
     if target is None:
@@ -50,6 +50,8 @@
     if state.leaving or target.leaving or target.drained or (
             state.target.leaving):
         return 'draining'
+    if not states.works(state, now):
+        return 'target-cold'
     return ''
 
 
--- a/scenarios/changes.py
+++ b/scenarios/changes.py
@@ -225,6 +225,14 @@
     system.start_agent(next(iter(system.target_by_name)))
 
 
+@CHANGES.register('the restart of target and agent')
+def both_restart(system):
+    r"""Restart a target, and its agent just after it has started cold."""
+    _restart(system, truthful=True)
+    system.run(400)
+    agent_restarts(system)
+
+
 @CHANGES.register('the death of the target')
 def target_dies(system):
     r"""End a target for good."""
--- /dev/null
+++ b/scenarios/tests/cold_start.feature
@@ -0,0 +1,58 @@
+Feature: R3 A target that has just started gets no more than it can bear
+
+  Scenario Outline: <change>, <slots> slots, cold limit <limit> told as <told>
+    Given a system with 3 balancers
+    And targets with
+      | slots                | <slots>   |
+      | cold limit           | <limit>   |
+      | announced cold limit | <told>    |
+      | service ms           | <service> |
+    And a service dispatch with 2 targets
+    And 40 open flows to dispatch
+    When each flow sends a request every 250 ms for 3000 ms
+    And each flow sends a request
+    And 40 ms pass
+    And <change> happens
+    And each flow sends a request every 250 ms for 3000 ms
+    And 2500 ms pass
+    Then no target received more than it bears
+    And nothing is broken
+    And at least <answered> requests are answered
+
+    Examples:
+      | change                           | slots | limit | told | service | answered |
+      | nothing                          | 8     | 1     | 1    | 10      | 100      |
+      | the restart of a target          | 1     | 1     | 1    | 10      | 100      |
+      | the restart of a target          | 2     | 1     | 1    | 10      | 100      |
+      | the restart of a target          | 8     | 1     | 1    | 10      | 100      |
+      | the restart of a target          | 8     | 2     | 2    | 10      | 100      |
+      | the restart of a target          | 8     | 1     | 8    | 10      | 100      |
+      | the restart of a target          | 8     | 1     | 1    | 150     | 100      |
+      | a restart that is announced late | 8     | 1     | 1    | 10      | 100      |
+      | a restart that is announced late | 8     | 1     | 1    | 150     | 100      |
+      | a restart that is never told     | 8     | 1     | 1    | 10      | 100      |
+      | a restart that is never told     | 8     | 1     | 1    | 150     | 100      |
+      | the restart of the agent alone   | 8     | 1     | 1    | 10      | 100      |
+
+  Scenario Outline: <change> while a target with <slots> slots is busy
+    Given a system with 3 balancers
+    And targets with
+      | slots      | <slots> |
+      | service ms | 1200    |
+    And a service dispatch with 1 targets
+    And 6 open flows to dispatch
+    When each flow sends an idempotent request every 100 ms for <busy> ms
+    And <change> happens
+    And 1500 ms pass
+    And 6 new flows to dispatch send a request
+    And 6000 ms pass
+    Then no target received more than it bears
+    And nothing is broken
+
+    Examples:
+      | change                          | slots | busy |
+      | nothing                         | 1     | 200  |
+      | the restart of the agent alone  | 1     | 200  |
+      | the restart of the agent alone  | 2     | 200  |
+      | the restart of the agent alone  | 8     | 200  |
+      | the restart of target and agent | 8     | 200  |
