Reduce a deadline by the time that a request waited in an inbox

Cause: balancer and agent handed on a request that had waited in a full inbox with the deadline it had on arrival. Change: the edge stamps a packet when it reads it; gate and verification take the waiting time off, and a balancer drops a request that has expired. Conclusion: time in the socket buffer of a paused process is not seen.

--- a/poplarstep/core/memory.py
+++ b/poplarstep/core/memory.py
@@ -114,7 +114,7 @@
     >>> driver = make_driver(seed=1)
     >>> node = driver.add(Node(
     ...     'b1', {front: lambda source, body, now: packet.Ingress(
-    ...         path, body)},
+    ...         path, body, now)},
     ...     stage.Pipeline([
     ...         (gate.GATE, balancer), (opening.SELECT, balancer)]),
     ...     timer.TimerQueue(), {packet.Egress: lambda node, item: (
--- a/poplarstep/flow/packet.py
+++ b/poplarstep/flow/packet.py
@@ -66,6 +66,23 @@
         self.payload = payload
 
 
+def after_wait(request, arrived_at, now):
+    r"""Return a request whose deadline is shorter by the time it waited.
+
+    Examples
+    ========
+
+    >>> request = Request(1, None, 1, False, 500, 1, b'')
+    >>> after_wait(request, arrived_at=1000, now=1300).deadline_ms
+    200
+
+    """
+    if now <= arrived_at:
+        return request
+    return request.replace(
+        deadline_ms=request.deadline_ms - (now - arrived_at))
+
+
 class Cancel(record.Record):
     r"""The caller no longer wants an answer to a request."""
 
@@ -159,13 +176,19 @@
 
 
 class Ingress(record.Record):
-    r"""A caller's packet as the fabric delivered it to a balancer."""
+    r"""A caller's packet as the fabric delivered it to a balancer.
 
-    __slots__ = ('path', 'packet')
+    ``arrived_at`` is the time in ms at which it was read, before it waited
+    in an inbox.
+    """
 
-    def __init__(self, path: ReturnPath, packet: record.Record):
+    __slots__ = ('path', 'packet', 'arrived_at')
+
+    def __init__(
+            self, path: ReturnPath, packet: record.Record, arrived_at: int):
         self.path = path
         self.packet = packet
+        self.arrived_at = arrived_at
 
 
 class Egress(record.Record):
--- a/poplarstep/programs/agent.py
+++ b/poplarstep/programs/agent.py
@@ -5,6 +5,7 @@
 
 from poplarstep.core import address
 from poplarstep.core import effect
+from poplarstep.edge import clock
 from poplarstep.edge import codec
 from poplarstep.edge import datagrams
 from poplarstep.edge import proxy_header
@@ -56,7 +57,8 @@
     if type(item) is not packet.Forwarded:
         return result.Failure(
             '%s does not come from balancers' % type(item).__name__)
-    return result.Success(message.Arrival(address.Address(*source), item))
+    return result.Success(message.Arrival(
+        address.Address(*source), item, clock.now_ms()))
 
 
 def make_performers(packets, front, links, client):
--- a/poplarstep/programs/balancer.py
+++ b/poplarstep/programs/balancer.py
@@ -67,7 +67,7 @@
         return result.Failure(
             '%s does not come from callers' % type(item).__name__)
     return result.Success(packet.Ingress(packet.ReturnPath(
-        address.Address(*source), caller, service), item))
+        address.Address(*source), caller, service), item, clock.now_ms()))
 
 
 def make_back_decoder(packets):
--- a/poplarstep/requests/message.py
+++ b/poplarstep/requests/message.py
@@ -6,13 +6,20 @@
 
 
 class Arrival(record.Record):
-    r"""A forwarded packet; ``source`` is the balancer's address."""
+    r"""A forwarded packet; ``source`` is the balancer's address.
 
-    __slots__ = ('source', 'forwarded')
+    ``arrived_at`` is the time in ms at which it was read, before it waited
+    in an inbox.
+    """
 
-    def __init__(self, source: address.Address, forwarded: packet.Forwarded):
+    __slots__ = ('source', 'forwarded', 'arrived_at')
+
+    def __init__(
+            self, source: address.Address, forwarded: packet.Forwarded,
+            arrived_at: int):
         self.source = source
         self.forwarded = forwarded
+        self.arrived_at = arrived_at
 
 
 class VerifiedOpen(record.Record):
--- a/poplarstep/requests/verification.py
+++ b/poplarstep/requests/verification.py
@@ -33,7 +33,10 @@
     reason = _packet_fault(state, forwarded)
     if reason:
         return refuse_packet(state, forwarded, reason)
-    return [message.VerifiedPacket(forwarded.path, forwarded.packet)]
+    body = forwarded.packet
+    if isinstance(body, packet.Request):
+        body = packet.after_wait(body, event.arrived_at, now)
+    return [message.VerifiedPacket(forwarded.path, body)]
 
 
 def _open_fault(state, forwarded, now):
--- a/poplarstep/routing/gate.py
+++ b/poplarstep/routing/gate.py
@@ -47,6 +47,12 @@
     if catalogue.data_centre_out(token.data_centre):
         counters.refused_data_centre += 1
         return refuse(event, 'data-centre-out')
+    if type(body) is packet.Request:
+        body = packet.after_wait(body, event.arrived_at, now)
+        if body.deadline_ms <= 0:
+            # The caller has given up; an answer would match nothing.
+            counters.expired += 1
+            return []
     counters.forwarded += 1
     return [effect.SendPacket(token.agent, packet.Forwarded(
         event.path, 0, token.service, token.target, catalogue.version,
@@ -59,7 +65,7 @@
     Examples
     ========
 
-    >>> event = packet.Ingress(None, packet.Open(7))
+    >>> event = packet.Ingress(None, packet.Open(7), 0)
     >>> refuse(event, 'unknown-service')[0].packet.verdict
     0
 
--- a/poplarstep/routing/state.py
+++ b/poplarstep/routing/state.py
@@ -10,7 +10,7 @@
         'packets', 'forwarded', 'opens', 'opened', 'open_retried',
         'refused_unconfirmed', 'refused_service', 'refused_data_centre',
         'refused_no_target', 'refused_busy', 'refused_shed', 'open_lost',
-        'stale_outcomes', 'paused')
+        'stale_outcomes', 'paused', 'expired')
 
     def __init__(self):
         for name in self.__slots__:
--- a/scenarios/changes.py
+++ b/scenarios/changes.py
@@ -1,5 +1,6 @@
 r"""Changes and failures that scenarios name in their tables."""
 
+from poplarstep.caller import message
 from poplarstep.configuration import command
 from poplarstep.core import memory
 from poplarstep.core import registry
@@ -256,6 +257,31 @@
     system.driver.heal()
 
 
+@CHANGES.register('the cancellation of all requests')
+def all_cancelled(system):
+    r"""Let callers cancel what has no outcome yet."""
+    for asked in system.asked:
+        if asked.outcome is None:
+            system.driver.post('callers', message.Abandon(
+                asked.flow_key, asked.number))
+
+
+@CHANGES.register('a balancer without control')
+def balancer_alone(system):
+    r"""Cut the first balancer off from control for good."""
+    name = next(iter(system.balancer_by_name))
+    system.driver.cut('control', name)
+    system.driver.cut(name, 'control')
+
+
+@CHANGES.register('an agent without control')
+def agent_alone(system):
+    r"""Cut the first agent off from control for good."""
+    name = next(iter(system.target_by_name))
+    system.driver.cut('control', name)
+    system.driver.cut(name, 'control')
+
+
 @CHANGES.register('a target that is silent')
 def target_silent(system):
     r"""Cut the first agent off in both directions for good."""
--- a/scenarios/nodes.py
+++ b/scenarios/nodes.py
@@ -115,7 +115,7 @@
     def ingress(source, framed, now):
         return packet.Ingress(
             packet.ReturnPath(source, framed.caller, framed.service),
-            framed.packet)
+            framed.packet, now)
 
     driver.add(memory.Node(
         name, {
@@ -139,7 +139,8 @@
         settings.for_agent(name, data_centre, place, **changes), incarnation)
     driver.add(memory.Node(
         name, {
-            place: lambda source, body, now: message.Arrival(source, body),
+            place: lambda source, body, now: message.Arrival(
+                source, body, now),
             inbox: control_decoder,
         }, pipeline, timers_of(agent_assembly.TICKING, driver.now), {
             effect.SendPacket: send_from(driver, place),
--- a/scenarios/system.py
+++ b/scenarios/system.py
@@ -145,6 +145,10 @@
         self.agent_by_name[name] = agent
         self.admission_by_name[name] = admitted
 
+    def first_agent(self):
+        r"""Return the state of the agent of the first target."""
+        return next(iter(self.agent_by_name.values()))
+
     def open_flows(self, service, count, deadline_ms=3000):
         r"""Open flows to a service; return their keys."""
         keys = []
--- a/scenarios/tests/test_scenarios.py
+++ b/scenarios/tests/test_scenarios.py
@@ -10,6 +10,8 @@
 from scenarios import target as targets
 
 SEED = 20261
+# Caller to fabric, balancer and agent; only time on a wire may add.
+WAY_HOPS = 3
 REQUESTS = 'each flow sends {kind} request'
 KINDS = {'a': False, 'an idempotent': True}
 
@@ -21,9 +23,9 @@
     return pytest_bdd.given(parsers.parse(text), **options)
 
 
-def when(text):
+def when(text, **options):
     """Return the decorator of a step that changes a system."""
-    return pytest_bdd.when(parsers.parse(text))
+    return pytest_bdd.when(parsers.parse(text), **options)
 
 
 def then(text):
@@ -153,3 +155,43 @@
         name: target.exceeded
         for name, target in system.target_by_name.items()
         if target.exceeded} == {}
+
+
+@then('at least {count:d} requests are refused as not run')
+def some_refused(system, count):
+    assert len(system.with_verdict(verdict.Verdict.NOT_RUN)) >= count
+
+
+@then('at least {count:d} requests may have run')
+def some_unknown(system, count):
+    assert len(system.with_verdict(verdict.Verdict.MAY_HAVE_RUN)) >= count
+
+
+@then('{count:d} requests are cancelled at their target')
+def cancelled_at_target(system, count):
+    assert sum(
+        len(target.cancelled)
+        for target in system.target_by_name.values()) == count
+
+
+@when('flows are counted', target_fixture='opened_before')
+def count_flows(system):
+    return system.first_agent().counters.opened
+
+
+@then('the first target has no new flow')
+def no_new_flow(system, opened_before):
+    assert system.first_agent().counters.opened == opened_before
+
+
+@then('the first target has no flows')
+def no_flows(system):
+    assert len(system.first_agent().flow_by_serial) == 0
+
+
+@then('no target was given more time than the caller gave')
+def no_late_deadline(system):
+    way_ms = WAY_HOPS * system.driver.faults.most_ms
+    assert max(
+        target.latest_ms
+        for target in system.target_by_name.values()) <= way_ms
