Do not send a cancelled request to the target again

Cause: a running request that was cancelled went back to the queue when its call failed without having run, and was dispatched once more. Change: the record of the request is marked, and such a failure ends it as not run. Scenarios of refusals (R6) and of cancellation. Measured: python -m pytest scenarios -k 'refused or cancellation': 5 pass; the fault itself is checked by the agent's state machine.

--- a/poplarstep/requests/admission.py
+++ b/poplarstep/requests/admission.py
@@ -115,6 +115,9 @@
         return _refuse(
             state, event.key, verdict.Verdict.NOT_RUN, 'cancelled')
     if event.key in state.in_flight:
+        known = states.request_record(state.agent, event.key)
+        if known is not None:
+            known.cancelled = True
         return [message.CancelCall(
             event.key, states.idempotency_key(state.agent, event.key))]
     return []
@@ -178,6 +181,9 @@
     known = states.request_record(state.agent, event.key)
     if known is None:
         return []
+    if known.cancelled:
+        return _refuse(
+            state, event.key, verdict.Verdict.NOT_RUN, 'cancelled')
     offered = state.queue.offer(event.key, known.deadline, now)
     if isinstance(offered, result.Failure):
         return _refuse(
--- a/poplarstep/requests/state.py
+++ b/poplarstep/requests/state.py
@@ -19,7 +19,8 @@
     r"""What the agent knows of one request.
 
     ``path`` is that of the latest copy of the request, so that an answer
-    reaches the caller where it now is.
+    reaches the caller where it now is. A ``cancelled`` request is running,
+    but is not sent to the target again.
     """
 
     __slots__ = (
--- /dev/null
+++ b/scenarios/tests/refusals.feature
@@ -0,0 +1,38 @@
+Feature: R6 A refusal that says a request was not run is true
+
+  Scenario Outline: Requests refused because <reason> did not run
+    Given a system with 3 balancers
+    And agents with
+      | queue length | <queue> |
+    And targets with
+      | slots      | 1         |
+      | service ms | <service> |
+    And a service dispatch with 1 targets
+    And 20 open flows to dispatch
+    And a <network> network
+    When each flow sends a request every 100 ms for 300 ms
+    And <change> happens
+    And each flow sends a request
+    And 4000 ms pass
+    Then nothing is broken
+    And at least 5 requests are refused as not run
+
+    Examples:
+      | reason                    | queue | service | network         | change                  |
+      | the queue is full         | 4     | 50      | duplicating     | nothing                 |
+      | the deadline passed       | 64    | 300     | duplicating     | nothing                 |
+      | callers cancelled         | 64    | 100     | bad in every way | the cancellation of all requests |
+      | the target is unreachable | 64    | 50      | bad in every way | the death of the target |
+
+  Scenario: A cancellation reaches the target
+    Given a system with 2 balancers
+    And targets with
+      | service ms | 500 |
+    And a service dispatch with 1 targets
+    And 1 open flows to dispatch
+    When each flow sends a request
+    And 100 ms pass
+    And the cancellation of all requests happens
+    And 100 ms pass
+    Then 1 requests are cancelled at their target
+    And nothing is broken
