--- a/poplarstep/programs/balancer.py
+++ b/poplarstep/programs/balancer.py
@@ -64,7 +64,7 @@
         if type(item) not in packet.FROM_CALLER:
             return _misplaced(item)
         return packet.Ingress(packet.ReturnPath(
-            fabric(source), caller, service), item)
+            fabric(source), caller, service), item, clock.now_ms())
 
     fabric = functools.lru_cache(CACHED_SOURCES)(
         lambda source: address.Address(*source))
