Report calls whose connection ends in mid-answer

Cause: geventhttpclient raises HTTPConnectionClosed and HTTPParseError when a target closes or resets a connection. They derive from HTTPException, not from OSError, so the call's greenlet died, the agent was never told, and the slot and the request record stayed occupied for good.

Change: the agent's client and the stand-in's announcer catch HTTPException; such a request may have run.

--- a/poplarstep/edge/target_client.py
+++ b/poplarstep/edge/target_client.py
@@ -12,6 +12,7 @@
 on it would be taken for the answer to the next request.
 """
 
+from http import client as standard_http
 import time
 
 import gevent
@@ -21,6 +22,9 @@
 from poplarstep.requests import message
 
 NOT_RUN_HEADER = 'request-not-run'
+# A connection that ends in the middle of an answer raises HTTPException,
+# which is not an OSError.
+CALL_ERRORS = (OSError, ValueError, standard_http.HTTPException)
 CONNECT_TIMEOUT_S = 0.5
 
 
@@ -72,7 +76,7 @@
         client = self._connected()
         try:
             client.delete('/request/%s' % item.idempotency_key).read()
-        except (OSError, ValueError):
+        except CALL_ERRORS:
             # The call itself reports what became of the request.
             return
         finally:
@@ -101,7 +105,7 @@
         # Without a read timeout only connecting can time out.
         return message.TargetFailed(
             item.key, False, 'target-unreachable', 0.0)
-    except (OSError, ValueError) as error:
+    except CALL_ERRORS as error:
         return message.TargetFailed(
             item.key, True, 'target-%s' % type(error).__name__, 0.0)
     if response.status_code == 200:
--- a/standins/target.py
+++ b/standins/target.py
@@ -9,6 +9,7 @@
 is found.
 """
 
+from http import client as standard_http
 import json
 import os
 import signal
@@ -122,7 +123,7 @@
         client = http_client.HTTPClient(agent.ip, agent.port)
         try:
             client.post('/announce', body=body).read()
-        except (OSError, ValueError):
+        except (OSError, ValueError, standard_http.HTTPException):
             # The agent may start later than its target.
             pass
         finally:
