Test the promises on real processes under faults

Flows whose data centre was taken out are counted apart from broken ones, in the demo's table and exit code as well. Links.close iterates over a copy: every graceful stop ended with a RuntimeError and exit code 1, because killing a link's greenlet removes its entry.

--- a/poplarstep/edge/link.py
+++ b/poplarstep/edge/link.py
@@ -124,7 +124,7 @@
 
     def close(self):
         r"""Close the inbox and all links."""
-        for peer in self.peer_by_address.values():
+        for peer in list(self.peer_by_address.values()):
             peer.greenlet.kill()
         self.inbox.close()
 
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -7,6 +7,7 @@
 answer is compared with the request that it must belong to.
 """
 
+import collections
 import random
 
 import gevent
@@ -25,18 +26,37 @@
 from poplarstep.edge import task as tasks
 from poplarstep.flow import token
 
+DATA_CENTRE_OUT = 'data-centre-out'
+
 
 class Tally:
-    r"""Counts of what became of flows and requests."""
+    r"""Counts of what became of flows and requests.
+
+    Parameters
+    ==========
+
+    completed, given_up, broken : int
+        Flows whose requests were all answered; flows that ended because
+        their data centre was taken out; all others.
+    refused : int
+        Flows that could not be opened.
+    not_run_payloads : set of bytes
+        Payloads of requests that ended with the verdict "not run".
+    reasons : collections.Counter
+        Reasons of the requests that were not answered.
+    """
 
     __slots__ = (
-        'opened', 'completed', 'broken', 'refused', 'asked', 'answered',
-        'mismatched', 'not_run', 'may_have_run', 'latencies_ms')
+        'opened', 'completed', 'given_up', 'broken', 'refused', 'asked',
+        'answered', 'mismatched', 'not_run', 'may_have_run', 'latencies_ms',
+        'not_run_payloads', 'reasons')
 
     def __init__(self):
         for name in self.__slots__:
             setattr(self, name, 0)
         self.latencies_ms = []
+        self.not_run_payloads = set()
+        self.reasons = collections.Counter()
 
 
 class Client:
@@ -111,7 +131,7 @@
         tally.refused += 1
         return
     tally.opened += 1
-    broken = False
+    whole = True
     for number in range(count):
         payload = b'%x/%d' % (opened.flow_key, number)
         asked_at = clock.now_ms()
@@ -119,14 +139,19 @@
         outcome = client.ask(
             opened.flow_key, payload, idempotent, deadline_ms)
         tally.latencies_ms.append(clock.now_ms() - asked_at)
-        broken |= not _count(tally, outcome, payload)
+        if outcome.reason == DATA_CENTRE_OUT:
+            # The page of requirements excepts these flows (R1).
+            tally.given_up += 1
+            client.close_flow(opened.flow_key)
+            return
+        whole &= _count(tally, outcome, payload)
         if pause_s:
             gevent.sleep(pause_s)
     client.close_flow(opened.flow_key)
-    if broken:
-        tally.broken += 1
-    else:
+    if whole:
         tally.completed += 1
+    else:
+        tally.broken += 1
 
 
 def _count(tally, outcome, payload):
@@ -137,8 +162,10 @@
             return False
         tally.answered += 1
         return True
+    tally.reasons[outcome.reason] += 1
     if outcome.verdict == verdict.Verdict.NOT_RUN:
         tally.not_run += 1
+        tally.not_run_payloads.add(payload)
     else:
         tally.may_have_run += 1
     return False
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -7,7 +7,6 @@
 import time
 
 import click
-import gevent
 from gevent import pool
 import tabulate
 
@@ -15,6 +14,7 @@
 from standins import deployment
 from standins import fabric as fabrics
 from standins import processes as processes_module
+from standins import script
 
 DEADLINE_MS = 15_000
 
@@ -32,9 +32,9 @@
             item.name: callers.Tally() for item in layout.plan.services}
 
 
-def make_demonstration(name, folder, log, network):
+def make_demonstration(plan, folder, log, network):
     r"""Return a demonstration whose processes are not started."""
-    layout = deployment.make_layout(name, folder, network)
+    layout = deployment.make_layout(plan, folder, network)
     balancers = [
         layout.place(deployment.BALANCER, index, deployment.FRONT_PORT)
         for index in range(layout.balancers)]
@@ -54,7 +54,8 @@
             demonstration.layout.service_address(service.name))
 
 
-def drive(demonstration, flows, concurrency, requests_per_flow):
+def drive(demonstration, flows, concurrency, requests_per_flow,
+          pause_s=0.0):
     r"""Run flows over all services in turn and wait for their end."""
     client = callers.Client(seed=2)
     client.start()
@@ -65,19 +66,23 @@
         workers.spawn(
             callers.run_flow, client, demonstration.tally_by_service[name],
             demonstration.layout.service_address(name), requests_per_flow,
-            False, DEADLINE_MS)
+            False, DEADLINE_MS, pause_s)
     workers.join()
 
 
 def report(demonstration):
-    r"""Print the tables; return the number of broken or wrong flows."""
+    r"""Print the tables; return the number of broken or wrong flows.
+
+    Flows that ended because operators took their data centre out are "given
+    up" and do not count.
+    """
     rows = [
-        (name, tally.opened, tally.completed, tally.broken, tally.refused,
-         tally.answered, tally.mismatched)
+        (name, tally.opened, tally.completed, tally.given_up, tally.broken,
+         tally.refused, tally.answered, tally.mismatched)
         for name, tally in demonstration.tally_by_service.items()]
     click.echo(tabulate.tabulate(rows, headers=(
-        'service', 'opened', 'completed', 'broken', 'refused', 'answers',
-        'wrong answers')))
+        'service', 'opened', 'completed', 'given up', 'broken', 'refused',
+        'answers', 'wrong answers')))
     click.echo()
     click.echo(tabulate.tabulate(
         [(str(place), count) for place, count
@@ -104,19 +109,14 @@
         count_by_name['agent_answered'])
 
 
-def _disturb(demonstration, kill, data_centre_out, after_s):
-    gevent.sleep(after_s)
-    # The processes are handled by blocking calls; they run in a thread so
-    # that the callers keep their pace.
-    in_thread = gevent.get_hub().threadpool.apply
+def disturbances(kill, data_centre_out, after_s):
+    r"""Return the script of the command line's disturbances."""
+    texts = []
     if kill:
-        in_thread(demonstration.processes.kill, (kill,))
-        click.echo('killed %s' % kill)
+        texts.append('kill %s' % kill)
     if data_centre_out:
-        answer = in_thread(demonstration.processes.run, (
-            'take data-centre %s out' % data_centre_out,))
-        click.echo('data centre %s out: %s' % (
-            data_centre_out, answer.rows[0][0]))
+        texts.append('take data-centre %s out' % data_centre_out)
+    return [script.Step(round(after_s * 1000), text) for text in texts]
 
 
 @click.command()
@@ -137,18 +137,22 @@
     r"""Run a whole deployment on loopback."""
     with tempfile.TemporaryDirectory() as folder, \
             open(log_path, 'wb') as log:
-        demonstration = make_demonstration(name, folder, log, network)
+        demonstration = make_demonstration(
+            deployment.PLAN_BY_NAME[name], folder, log, network)
         try:
             started = time.monotonic()
             start(demonstration)
             click.echo('started in %.1f s' % (time.monotonic() - started))
-            if kill or data_centre_out:
-                gevent.spawn(
-                    _disturb, demonstration, kill, data_centre_out, after)
+            events = []
+            script.play(
+                disturbances(kill, data_centre_out, after),
+                demonstration.processes, events)
             began = time.monotonic()
             drive(demonstration, flows, concurrency, requests_per_flow)
             click.echo('%d flows in %.1f s' % (
                 flows, time.monotonic() - began))
+            for event in events:
+                click.echo('%s: %s' % (event.text, event.outcome))
             wrong = report(demonstration)
         finally:
             demonstration.processes.kill_all()
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -134,7 +134,8 @@
             '--agent', str(self.place(AGENT, index, HTTP_PORT)),
             '--service-ms', str(service.service_ms),
             '--slots', str(service.slots),
-            '--connections', str(service.connections)]
+            '--connections', str(service.connections),
+            '--journal', '%s/runs-%d' % (self.folder, index)]
 
     def target_places(self):
         r"""Return ``(index, service plan)`` of every target."""
@@ -144,12 +145,16 @@
                 places.append((len(places), service))
         return places
 
-    def _flags(self, role, node, index, kind, more):
+    def data_centre(self, index):
+        r"""Return the data centre of the process with an index."""
         centres = self.plan.data_centres
+        return centres[index % len(centres)]
+
+    def _flags(self, role, node, index, kind, more):
         values = {
             'role': role,
             'node': node,
-            'data-centre': centres[index % len(centres)],
+            'data-centre': self.data_centre(index),
             'control-address': self.place(kind, index, CONTROL_PORT),
             'http-address': self.place(kind, index, HTTP_PORT),
             **more,
@@ -160,7 +165,6 @@
         return flags
 
 
-def make_layout(name, folder, network=1, controls=3, balancers=3):
-    r"""Return the layout of a named deployment."""
-    return Layout(
-        PLAN_BY_NAME[name], network, controls, balancers, folder)
+def make_layout(plan, folder, network=1, controls=3, balancers=3):
+    r"""Return the layout of a deployment."""
+    return Layout(plan, network, controls, balancers, folder)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -19,11 +19,13 @@
 class Processes:
     r"""Child processes of a deployment, by name."""
 
-    __slots__ = ('layout', 'child_by_name', 'log', 'session')
+    __slots__ = (
+        'layout', 'child_by_name', 'command_by_name', 'log', 'session')
 
     def __init__(self, layout, log):
         self.layout = layout
         self.child_by_name = {}
+        self.command_by_name = {}
         self.log = log
         self.session = tool.make_session(
             layout.control_http().split(','), timeout_s=10)
@@ -62,9 +64,13 @@
             self.start_target(index, service)
 
     def _start(self, name, module, flags):
+        self.command_by_name[name] = [sys.executable, '-m', module] + flags
+        self.start_again(name)
+
+    def start_again(self, name):
+        r"""Start a process that has ended with the same command."""
         self.child_by_name[name] = subprocess.Popen(
-            [sys.executable, '-m', module] + flags,
-            stdout=self.log, stderr=self.log)
+            self.command_by_name[name], stdout=self.log, stderr=self.log)
 
     def signal(self, name, number):
         r"""Send a signal to one process."""
@@ -122,6 +128,22 @@
         except (urllib.error.URLError, OSError):
             return None
 
+    def leader(self):
+        r"""Return the name of the control leader, or None."""
+        rows = self.run('show control').rows
+        return next((row[0] for row in rows if row[2] == 'leader'), None)
+
+    def runs(self):
+        r"""Return ``(key, payload)`` of every run at any target."""
+        found = []
+        for index, _ in self.layout.target_places():
+            with open('%s/runs-%d' % (self.layout.folder, index),
+                      'rb') as journal:
+                found.extend(
+                    tuple(line.split(b' ', 1))
+                    for line in journal.read().splitlines())
+        return found
+
     def _balancers_ready(self):
         version = self.run('show version').rows[0][0]
         for index in range(self.layout.balancers):
--- a/standins/target.py
+++ b/standins/target.py
@@ -6,7 +6,7 @@
 It announces itself to its agent, runs as many requests at a time as it has
 slots, is slow at first and fails when it gets more than it bears in cold
 start. It records every run of a request, so that a request that ran twice
-is found.
+is found; the optional journal keeps this record when the target is killed.
 """
 
 from http import client as standard_http
@@ -35,11 +35,12 @@
     __slots__ = (
         'service', 'service_ms', 'slots', 'connections', 'cold_ms',
         'cold_limit', 'started_at', 'in_flight', 'slot_lock', 'failures',
-        'runs_by_key', 'incarnation', 'leaving', 'most_in_flight_cold')
+        'runs_by_key', 'incarnation', 'leaving', 'most_in_flight_cold',
+        'journal')
 
     def __init__(
             self, service, service_ms, slots, connections, cold_ms,
-            cold_limit):
+            cold_limit, journal=None):
         self.service = service
         self.service_ms = service_ms
         self.slots = slots
@@ -54,6 +55,7 @@
         self.incarnation = time.time_ns()
         self.leaving = False
         self.most_in_flight_cold = 0
+        self.journal = journal
 
     def is_cold(self):
         r"""Return whether the target is still warming up."""
@@ -71,12 +73,18 @@
                 self.most_in_flight_cold, self.in_flight)
         try:
             with self.slot_lock:
-                self.runs_by_key[key] = self.runs_by_key.get(key, 0) + 1
+                self._record(key, payload)
                 gevent.sleep(self.service_ms / 1000)
             return '200 OK', [], b'answer to ' + payload
         finally:
             self.in_flight -= 1
 
+    def _record(self, key, payload):
+        self.runs_by_key[key] = self.runs_by_key.get(key, 0) + 1
+        if self.journal is not None:
+            # One write before the run: what a killed target ran is kept.
+            os.write(self.journal, b'%s %s\n' % (key.encode(), payload))
+
     def load(self):
         r"""Return the load report."""
         return {
@@ -140,12 +148,16 @@
 @click.option('--connections', default=2000)
 @click.option('--cold-ms', default=0.0)
 @click.option('--cold-limit', default=1)
+@click.option('--journal', help='file to which every run is appended as '
+              '"KEY PAYLOAD"')
 def main(service, place, agent, service_ms, slots, connections, cold_ms,
-         cold_limit):
+         cold_limit, journal):
     r"""Run a stand-in target."""
     bound = address.parse(place).unwrap()
     target = Target(
-        service, service_ms, slots, connections, cold_ms, cold_limit)
+        service, service_ms, slots, connections, cold_ms, cold_limit,
+        journal and os.open(
+            journal, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644))
     server = pywsgi.WSGIServer(
         (bound.ip, bound.port), make_application(target), log=None)
     server.start()
--- /dev/null
+++ b/standins/tests/test_deployment.py
@@ -0,0 +1,166 @@
+import collections
+import os
+
+import gevent
+import pytest
+
+from standins import demo
+from standins import deployment
+from standins import script
+
+# Two data centres, few targets: the processes start in a few seconds.
+PLAN = deployment.Plan('test', ('east', 'west'), (
+    deployment.ServicePlan('lookups', 4, 2, 2000, 0, 3.0),))
+FLOWS = 96
+CONCURRENCY = 32
+REQUESTS = 20
+PAUSE_S = 0.1
+# R4: from the acceptance of the command to the last packet.
+DATA_CENTRE_OUT_MS = 3000
+PACKETS_AT_AGENT = 'front_received'
+
+
+class Run:
+    r"""A deployment whose script has been played under load."""
+
+    __slots__ = ('demonstration', 'events', 'count_by_agent_at', 'status')
+
+    def __init__(self, demonstration):
+        self.demonstration = demonstration
+        self.events = []
+        self.count_by_agent_at = {}
+        self.status = {}
+
+    def tally(self):
+        return self.demonstration.tally_by_service['lookups']
+
+    def sample(self, name):
+        r"""Note the packets that each agent has received so far."""
+        layout = self.demonstration.layout
+        self.count_by_agent_at[name] = gevent.get_hub().threadpool.apply(
+            lambda: {
+                index: read(self.demonstration, deployment.AGENT, index,
+                            PACKETS_AT_AGENT)
+                for index, _ in layout.target_places()})
+
+
+def read(demonstration, kind, index, counter):
+    status = demonstration.processes.status(demonstration.layout.place(
+        kind, index, deployment.HTTP_PORT))
+    if status is None:
+        return None
+    return {row[0]: row[2] for row in status['values']}[counter]
+
+
+def none_broken(run):
+    # R1: flows survive what is neither their agent's nor their data
+    # centre's end.
+    tally = run.tally()
+    assert (tally.broken, tally.mismatched, tally.refused) == (0, 0, 0), (
+        tally.reasons)
+    assert tally.completed + tally.given_up == FLOWS
+
+
+def none_given_up(run):
+    assert run.tally().given_up == 0
+
+
+def no_run_repeated(run):
+    # R7, by the target's keys and by what the caller asked for.
+    runs = run.demonstration.processes.runs()
+    assert len(runs) >= run.tally().answered
+    for part in (0, 1):
+        counts = collections.Counter(entry[part] for entry in runs)
+        assert [name for name, count in counts.items() if count > 1] == []
+
+
+def not_run_is_true(run):
+    # R6: nothing that a caller was told did not run has run.
+    ran = {payload for _, payload in run.demonstration.processes.runs()}
+    assert run.tally().not_run_payloads & ran == set()
+
+
+def most_flows_complete(run):
+    # One of four agents and one of four targets end once; the flows that
+    # broke are theirs.
+    assert run.tally().completed >= FLOWS // 4
+
+
+def stops_cut_nothing(run):
+    # R9: exit code 4 says that requests were cut.
+    ends = [event.outcome for event in run.events
+            if event.text.startswith('terminate')]
+    assert len(ends) == 2
+    assert all(text.endswith('exit code 0') for text in ends), ends
+
+
+def no_packet_after_the_bound(run):
+    # R4: a balancer that resumes with a lapsed lease, with packets for the
+    # data centre in its socket buffer, forwards none of them.
+    out = [index for index, _ in run.demonstration.layout.target_places()
+           if run.demonstration.layout.data_centre(index) == 'west']
+    bound, end = run.count_by_agent_at['bound'], run.count_by_agent_at['end']
+    assert out and [bound[index] for index in out] == [
+        end[index] for index in out]
+    # The others went on, and the resumed balancer had packets to refuse.
+    assert sum(end.values()) > sum(bound.values())
+    refused = [
+        read(run.demonstration, deployment.BALANCER, 0, counter)
+        for counter in ('balancer_refused_unconfirmed',
+                        'balancer_refused_data_centre')]
+    assert sum(refused) > 0
+    assert run.tally().given_up > 0
+
+
+CASES = (
+    # Name, network, script, seconds of the samples, checks.
+    ('undisturbed', 31, '', (), (
+        none_broken, none_given_up, no_run_repeated)),
+    ('balancer and leader killed', 32, '''
+        0.5 kill balancer-0
+        1.0 kill leader
+        3.0 restart balancer-0
+     ''', (), (none_broken, none_given_up, no_run_repeated)),
+    ('paused balancer', 33, '''
+        0.5 stop balancer-0
+        1.0 take data-centre west out
+        5.5 continue balancer-0
+     ''', ((1.5 + DATA_CENTRE_OUT_MS / 1000, 'bound'), (8.0, 'end')), (
+        none_broken, no_packet_after_the_bound, no_run_repeated,
+        not_run_is_true)),
+    ('agent and target killed', 34, '''
+        0.5 kill agent-0
+        1.0 kill target-1
+        1.5 restart target-1
+        2.0 restart agent-0
+     ''', (), (no_run_repeated, not_run_is_true, most_flows_complete)),
+    ('graceful stops', 35, '''
+        0.5 terminate balancer-0
+        0.7 terminate agent-0
+     ''', (), (none_broken, none_given_up, stops_cut_nothing,
+               no_run_repeated)),
+)
+
+
+@pytest.mark.parametrize(
+    'network, text, samples, checks', [case[1:] for case in CASES],
+    ids=[case[0] for case in CASES])
+def test_promises_hold(tmp_path, network, text, samples, checks):
+    with open(os.devnull, 'wb') as log:
+        demonstration = demo.make_demonstration(
+            PLAN, str(tmp_path), log, network)
+        run = Run(demonstration)
+        try:
+            demo.start(demonstration)
+            playing = script.play(
+                script.parse(text).unwrap(), demonstration.processes,
+                run.events)
+            for seconds, name in samples:
+                playing.add(gevent.spawn_later(seconds, run.sample, name))
+            demo.drive(
+                demonstration, FLOWS, CONCURRENCY, REQUESTS, PAUSE_S)
+            playing.join()
+            for check in checks:
+                check(run)
+        finally:
+            demonstration.processes.kill_all()
