--- a/poplarstep/edge/codec.py
+++ b/poplarstep/edge/codec.py
@@ -5,17 +5,20 @@
 
 For each record class the codec derives a msgspec struct from the
 annotations of ``__init__``, so that a message of the wrong type, length or
-shape is rejected before a decision stage sees it. A message is the array
-``[kind, field, ...]`` where ``kind`` is the class name.
+shape is rejected before a decision stage sees it. A message is one byte
+with the version of the format and the array ``[kind, field, ...]`` where
+``kind`` is the class name.
 """
 
 import inspect
+import socket
 import types
 import typing
 
 import msgspec
 from returns import result
 
+from poplarstep.core import address
 from poplarstep.core import record
 from poplarstep.flow import packet
 from poplarstep.flow import token
@@ -23,6 +26,8 @@
 # One message in one datagram or one pynng message. A configuration
 # snapshot of 36,000 targets has about 3 MB.
 MAXIMUM_MESSAGE_BYTES = 16 * 1024 * 1024
+FORMAT_VERSION = 1
+VERSION_BYTE = bytes([FORMAT_VERSION])
 
 
 class Codec:
@@ -44,8 +49,10 @@
     >>> data = codec.encode(packet.Open(flow_key=7))
     >>> codec.decode(data).unwrap()
     Open(flow_key=7)
-    >>> codec.decode(b'\xc1').failure().startswith('malformed message')
+    >>> codec.decode(b'\x01\xc1').failure().startswith('malformed message')
     True
+    >>> codec.decode(b'\x02' + data[1:]).failure()
+    'malformed message: unknown version 2'
 
     """
 
@@ -65,7 +72,7 @@
 
     def encode(self, message):
         r"""Return the message as bytes."""
-        return self.encoder.encode(self._to_struct(message))
+        return VERSION_BYTE + self.encoder.encode(self._to_struct(message))
 
     def decode(self, data):
         r"""Return ``Success(record)`` or ``Failure(message)``."""
@@ -73,8 +80,12 @@
             return result.Failure(
                 'malformed message: %d bytes exceed %d'
                 % (len(data), MAXIMUM_MESSAGE_BYTES))
+        if data[:1] != VERSION_BYTE:
+            return result.Failure('malformed message: %s' % (
+                'unknown version %d' % data[0] if data else 'no bytes'))
         try:
-            return result.Success(self._to_record(self.decoder.decode(data)))
+            return result.Success(self._to_record(
+                self.decoder.decode(memoryview(data)[1:])))
         except (msgspec.DecodeError, RecursionError, ValueError) as error:
             return result.Failure('malformed message: %s' % error)
 
@@ -101,6 +112,8 @@
         r"""Return the wire type and the two conversions of an annotation."""
         if hint is token.Token:
             return bytes, self.sealer.seal, self._unseal
+        if hint is address.Address:
+            return self._struct_for(hint), self._to_struct, self._to_address
         origin = typing.get_origin(hint)
         arguments = typing.get_args(hint)
         if origin in (typing.Union, types.UnionType):
@@ -163,6 +176,20 @@
             for name, _, from_wire in self.plan_by_record[record_class]
         ])
 
+    def _to_address(self, struct):
+        r"""Return an ``Address`` that a socket can send to.
+
+        A host name would make ``sendto`` wait for its resolution, and a
+        port out of range raises an OverflowError there.
+        """
+        try:
+            socket.inet_pton(socket.AF_INET, struct.ip)
+        except (OSError, ValueError):
+            raise ValueError('%r is not an IPv4 address' % struct.ip)
+        if not 0 <= struct.port <= address.MAXIMUM_PORT:
+            raise ValueError('port %d is outside 0-65535' % struct.port)
+        return address.Address(struct.ip, struct.port)
+
     def _unseal(self, sealed):
         outcome = self.sealer.unseal(sealed)
         if isinstance(outcome, result.Failure):
--- a/poplarstep/edge/datagrams.py
+++ b/poplarstep/edge/datagrams.py
@@ -16,7 +16,9 @@
 
 from poplarstep.core import address
 
-MAXIMUM_DATAGRAM_BYTES = 65_535
+# A payload of 1,200 bytes with its token, its path and the PROXY header has
+# about 1,400; longer datagrams are not of this protocol.
+MAXIMUM_DATAGRAM_BYTES = 2048
 BATCH_DATAGRAMS = 64
 BUFFER_BYTES = 4 * 1024 * 1024
 
@@ -78,13 +80,17 @@
         batch = []
         for _ in range(BATCH_DATAGRAMS):
             try:
-                data, source = self.socket.recvfrom(MAXIMUM_DATAGRAM_BYTES)
+                data, source = self.socket.recvfrom(
+                    MAXIMUM_DATAGRAM_BYTES + 1)
             except BlockingIOError:
                 break
             except ConnectionRefusedError:
                 # An earlier datagram met a closed port; reading goes on.
                 continue
             self.counters.received += 1
+            if len(data) > MAXIMUM_DATAGRAM_BYTES:
+                self.counters.malformed += 1
+                continue
             decoded = self.decode(source, data)
             if isinstance(decoded, result.Success):
                 batch.append(decoded.unwrap())
--- a/poplarstep/edge/link.py
+++ b/poplarstep/edge/link.py
@@ -25,6 +25,10 @@
 from poplarstep.edge import codec
 
 OUTBOX_MESSAGES = 256
+BATCH_MESSAGES = 64
+# Links to inboxes that envelopes name; a host that invents sources must not
+# take up memory without limit.
+MAXIMUM_PEERS = 4096
 # A push socket that nothing was sent on for this long is closed.
 IDLE_MS = 60_000
 # A dial is renewed when no message has come back from the peer for this
@@ -50,7 +54,8 @@
 
     __slots__ = (
         'received', 'received_bytes', 'sent', 'sent_bytes', 'malformed',
-        'dropped_outbox', 'redialled', 'wrong_cluster')
+        'dropped_outbox', 'redialled', 'wrong_cluster', 'failed_links',
+        'refused_peers')
 
     def __init__(self):
         for name in self.__slots__:
@@ -103,6 +108,9 @@
     def send(self, item):
         r"""Carry out ``SendControl``; drop the newest when full."""
         peer = self.peer_by_address.get(item.destination)
+        if peer is None and len(self.peer_by_address) >= MAXIMUM_PEERS:
+            self.counters.refused_peers += 1
+            return
         if peer is None:
             peer = Peer(item.destination, clock.now_ms())
             self.peer_by_address[item.destination] = peer
@@ -130,16 +138,17 @@
 
     def _drain(self):
         batch = []
-        while True:
+        for _ in range(BATCH_MESSAGES):
             try:
                 data = self.inbox.recv(block=False)
             except pynng.TryAgain:
-                return batch
+                break
             self.counters.received += 1
             self.counters.received_bytes += len(data)
             received = self._open_envelope(data)
             if received is not None:
                 batch.append(received)
+        return batch
 
     def _open_envelope(self, data):
         envelope = self.envelopes.decode(data)
@@ -175,6 +184,9 @@
                 if socket is None:
                     socket = _dial(peer)
                 self._push(socket, data)
+        except pynng.NNGException:
+            # A later message to the same inbox makes a new link.
+            self.counters.failed_links += 1
         finally:
             if self.peer_by_address.get(peer.address) is peer:
                 del self.peer_by_address[peer.address]
--- a/poplarstep/edge/target_client.py
+++ b/poplarstep/edge/target_client.py
@@ -26,6 +26,8 @@
 # which is not an OSError.
 CALL_ERRORS = (OSError, ValueError, standard_http.HTTPException)
 CONNECT_TIMEOUT_S = 0.5
+# Callers may name any deadline; the timer takes no more than this.
+MAXIMUM_CALL_MS = 24 * 3600 * 1000
 
 
 class TargetClient:
@@ -57,8 +59,9 @@
         started = time.monotonic()
         client = self._take()
         outcome = None
+        limit_ms = min(item.deadline_ms, MAXIMUM_CALL_MS)
         with gevent.Timeout(
-                item.deadline_ms / clock.MILLISECONDS_PER_SECOND, False):
+                limit_ms / clock.MILLISECONDS_PER_SECOND, False):
             outcome = _post(client, item)
         if outcome is None:
             outcome = message.TargetFailed(
--- a/poplarstep/edge/task.py
+++ b/poplarstep/edge/task.py
@@ -3,10 +3,15 @@
 Explanation
 ===========
 
-Other tasks reach it only through its inbox, a bounded queue of batches. A
-full inbox drops the newest batch and counts it: the data path resends, and
-control messages are repeated by polls and heartbeats. The task sleeps until
-a message arrives or the next timer is due.
+Other tasks reach it only through its inbox, a queue of batches that is
+bounded by the number of messages. A full inbox drops the newest batch and
+counts it: the data path resends, and control messages are repeated by polls
+and heartbeats. What nobody repeats is put in with ``report``. The task
+sleeps until a message arrives or the next timer is due.
+
+An exception in a stage ends the task, because the state may be half
+changed; the daemon then ends the process. A restarted agent answers "may
+have run" for what came before, so this keeps the promises to callers.
 """
 
 import collections
@@ -18,7 +23,8 @@
 from poplarstep.core import effect
 from poplarstep.edge import clock
 
-INBOX_BATCHES = 4096
+# A decoded datagram takes up to 2 kB, so a full inbox holds 32 MB.
+INBOX_MESSAGES = 16_384
 
 
 class TaskCounters:
@@ -51,7 +57,7 @@
 
     __slots__ = (
         'name', 'pipeline', 'timers', 'performer_by_type', 'inbox',
-        'counters', 'stopping')
+        'counters', 'stopping', 'waiting')
 
     def __init__(self, name, pipeline, timers, performer_by_type):
         self.name = name
@@ -62,27 +68,42 @@
             effect.Loop: lambda item: [item.message],
             **performer_by_type,
         }
-        self.inbox = queue.Queue(maxsize=INBOX_BATCHES)
+        self.inbox = queue.Queue()
+        self.waiting = 0
         self.counters = TaskCounters()
         self.stopping = False
 
     def post(self, messages):
         r"""Put a batch of messages into the inbox; drop it when full."""
-        try:
-            self.inbox.put_nowait(messages)
-        except queue.Full:
+        if self.waiting + len(messages) > INBOX_MESSAGES:
             self.counters.dropped_inbox += len(messages)
+            return
+        self.report(messages)
+
+    def report(self, messages):
+        r"""Put in a batch that is never repeated, also when full.
+
+        The sender bounds such messages, as the slots of a target bound the
+        reports of its calls.
+        """
+        self.waiting += len(messages)
+        self.inbox.put(messages)
 
     def run(self):
         r"""Serve the inbox and the timers until ``stop``."""
         while not self.stopping:
             for message in self._wait():
-                self.process(message)
+                try:
+                    self.process(message)
+                except Exception as error:
+                    logging.error('task-failed task=%s message=%s error=%r',
+                                  self.name, type(message).__name__, error)
+                    raise
 
     def stop(self):
         r"""End ``run`` after the batches that are already waiting."""
         self.stopping = True
-        self.post([])
+        self.report([])
 
     def process(self, message):
         r"""Run one message and all that follow from it."""
@@ -113,6 +134,7 @@
                 clock.MILLISECONDS_PER_SECOND)
         try:
             batch = self.inbox.get(timeout=timeout)
+            self.waiting -= len(batch)
         except queue.Empty:
             batch = []
         return batch + self.timers.due(clock.now_ms())
--- a/poplarstep/edge/web.py
+++ b/poplarstep/edge/web.py
@@ -1,6 +1,7 @@
 r"""HTTP server of a process: probes, metrics and registered routes."""
 
 import json
+import re
 import socket
 
 from absl import logging
@@ -9,6 +10,8 @@
 from returns import result
 
 MAXIMUM_BODY_BYTES = 1024 * 1024
+MAXIMUM_CONNECTIONS = 256
+LENGTH_PATTERN = re.compile('[0-9]{1,15}')
 STATUS_BY_CODE = {
     200: '200 OK',
     400: '400 Bad Request',
@@ -72,7 +75,8 @@
 
 def serve(bound, routes):
     r"""Start serving; return ``Success(server)`` or ``Failure(message)``."""
-    server = pywsgi.WSGIServer((bound.ip, bound.port), routes, log=None)
+    server = pywsgi.WSGIServer(
+        (bound.ip, bound.port), routes, log=None, spawn=MAXIMUM_CONNECTIONS)
     try:
         server.start()
         # Accepted sockets inherit the option; without it every answer waits
@@ -88,7 +92,7 @@
     if handler is None:
         return json_reply({'error': 'no such resource'}, 404)
     length = environ.get('CONTENT_LENGTH') or '0'
-    if not length.isdecimal():
+    if not LENGTH_PATTERN.fullmatch(length):
         return json_reply({'error': 'Content-Length is not a number'}, 400)
     if int(length) > MAXIMUM_BODY_BYTES:
         return json_reply({'error': 'body exceeds %d bytes'
--- a/poplarstep/programs/agent.py
+++ b/poplarstep/programs/agent.py
@@ -16,6 +16,7 @@
 from poplarstep.flow import packet
 from poplarstep.flow import token
 from poplarstep.programs import node as nodes
+from poplarstep.programs import settings as settings_table
 from poplarstep.requests import admission
 from poplarstep.requests import announcing
 from poplarstep.requests import message
@@ -36,7 +37,8 @@
         if isinstance(opened, result.Failure):
             return opened
     front, links = front.unwrap(), links.unwrap()
-    client = target_client.TargetClient(lambda batch: node.task.post(batch))
+    client = target_client.TargetClient(
+        lambda batch: node.task.report(batch))
     pipeline, agent, admitted = make_pipeline(settings)
     nodes.subscribe(node, subscriber, ownership, admission)
     node.exporter.add_counters('agent', agent.counters)
@@ -138,6 +140,10 @@
         if not 1 <= getattr(read, name) <= 1_000_000:
             return result.Failure(
                 'announcement: %s must be from 1 to 1000000' % name)
+    if not settings_table.NAME_PATTERN.fullmatch(read.service):
+        # The name is replicated to every node.
+        return result.Failure(
+            'announcement: service %.100r is not a name' % read.service)
     return address.parse(read.address).map(
         lambda place: message.TargetState(
             read.service, place, read.incarnation, read.slots,
@@ -155,7 +161,7 @@
 
 
 def _leave(node, agent):
-    node.task.post([message.Leave()])
+    node.task.report([message.Leave()])
     return nodes.Drain(
         lambda: not agent.flow_by_serial,
         lambda: states.unfinished(agent))
--- a/poplarstep/programs/balancer.py
+++ b/poplarstep/programs/balancer.py
@@ -109,6 +109,10 @@
     if type(item) not in packet.FROM_CALLER:
         return result.Failure(
             '%s does not come from callers' % type(item).__name__)
+    if type(item) is packet.Request and (
+            len(item.payload) > packet.MAXIMUM_PAYLOAD_BYTES):
+        return result.Failure('payload of %d bytes exceeds %d' % (
+            len(item.payload), packet.MAXIMUM_PAYLOAD_BYTES))
     return result.Success(packet.Ingress(packet.ReturnPath(
         address.Address(*source), caller, service), item))
 
--- a/poplarstep/programs/control.py
+++ b/poplarstep/programs/control.py
@@ -1,6 +1,7 @@
 r"""Builds a control host: storage, replica, state machine and publisher."""
 
 import itertools
+import typing
 
 import gevent
 from gevent import event as gevent_event
@@ -35,8 +36,9 @@
 class CommandBody(msgspec.Struct, forbid_unknown_fields=True):
     r"""JSON body of ``POST /command``."""
 
-    client: str
-    sequence: int
+    client: typing.Annotated[
+        str, msgspec.Meta(min_length=1, max_length=100)]
+    sequence: typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
     text: str
 
 
@@ -229,6 +231,10 @@
         parsed = parser.parse(asked.text)
         if isinstance(parsed, result.Failure):
             return web.json_reply({'error': parsed.failure()}, 400)
+        if type(parsed.unwrap()) not in query.ANSWERS.handler_by_type:
+            return web.json_reply({
+                'error': 'a control host does not answer this statement'
+            }, 400)
         reply = waiters.ask(node.task, lambda key: message.OperatorQuery(
             key, parsed.unwrap()))
         if reply is None:
--- a/poplarstep/programs/daemon.py
+++ b/poplarstep/programs/daemon.py
@@ -22,6 +22,7 @@
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_START = 3
 EXIT_CUT = 4
+EXIT_FAILED = 5
 LEAVE_CHECK_S = 0.05
 
 BUILDERS = registry.Registry('role')
@@ -108,7 +109,9 @@
 
     gevent.signal_handler(signal.SIGTERM, on_signal)
     gevent.signal_handler(signal.SIGINT, on_signal)
-    asked.wait()
+    gevent.wait([asked, node.failed], count=1)
+    if node.failed.is_set():
+        _fail(node)
     cut = _drain(node, asked_again)
     nodes.close(node)
     logging.info('node-stopped node=%s requests_cut=%d',
@@ -116,6 +119,14 @@
     sys.exit(EXIT_CUT if cut else 0)
 
 
+def _fail(node):
+    r"""End a process of which a part has ended; nothing can be drained."""
+    logging.error('node-failed node=%s exit_code=%d',
+                  node.settings['node'], EXIT_FAILED)
+    logging.flush()
+    os._exit(EXIT_FAILED)
+
+
 def _drain(node, asked_again):
     r"""Return the number of requests that were cut."""
     logging.info('node-draining node=%s', node.settings['node'])
@@ -125,6 +136,8 @@
     while clock.now_ms() < deadline and not drain.idle():
         if asked_again.wait(LEAVE_CHECK_S):
             break
+        if node.failed.is_set():
+            _fail(node)
     return drain.unfinished()
 
 
--- a/poplarstep/programs/node.py
+++ b/poplarstep/programs/node.py
@@ -3,6 +3,7 @@
 import time
 
 import gevent
+from gevent import event as gevent_event
 from returns import result
 
 from poplarstep.core import timer
@@ -45,11 +46,13 @@
         Returns whether the node may take traffic.
     leave : callable
         Starts a graceful shutdown and returns its ``Drain``.
+    failed : Event
+        Set when a task or a reader has ended with an exception.
     """
 
     __slots__ = (
         'settings', 'task', 'links', 'routes', 'exporter', 'closers',
-        'readers', 'status', 'ready', 'leave', 'timers')
+        'readers', 'status', 'ready', 'leave', 'timers', 'failed')
 
     def __init__(self, settings):
         self.settings = settings
@@ -60,6 +63,7 @@
             'data_centre': settings['data-centre']})
         self.closers = []
         self.readers = []
+        self.failed = gevent_event.Event()
         self.task = None
         self.links = None
         self.status = dict
@@ -118,6 +122,8 @@
         gevent.spawn(item.read_loop, node.task.post)
         for item in [links, *sockets.values()]]
     node.readers.append(tasks.start(node.task))
+    for greenlet in node.readers:
+        greenlet.link_exception(lambda ended: node.failed.set())
     return result.Success(node)
 
 
--- a/poplarstep/programs/settings.py
+++ b/poplarstep/programs/settings.py
@@ -22,6 +22,8 @@
 ROLES = ('control', 'balancer', 'agent')
 ALL = ROLES
 NAME_PATTERN = re.compile(r'[A-Za-z0-9][A-Za-z0-9./-]{0,99}')
+# int() accepts digits of other scripts and rejects very long numbers.
+NUMBER_PATTERN = re.compile('[0-9]{1,15}')
 MINIMUM_KEY_BYTES = 16
 
 KINDS = registry.Registry('kind of setting')
@@ -202,7 +204,7 @@
 @KINDS.register('number')
 def _number(setting, text):
     lowest, highest = setting.allowed
-    if not text.isdecimal() or not lowest <= int(text) <= highest:
+    if not NUMBER_PATTERN.fullmatch(text) or not lowest <= int(text) <= highest:
         return result.Failure('%r is not a whole number from %d to %d %s' % (
             text, lowest, highest, setting.unit))
     return result.Success(int(text))
