Refuse bad input on every socket and end a half-dead process

Cause: an empty message on the control inbox ended its reader (pynng raises RuntimeError), 'show flows' on /query ended the task of a control host, and the process went on without them, alive on /healthz. Sequences beyond 64 bits, names of any length and links to invented sources were accepted; a full task inbox also dropped the reports of calls to the target.

Reports to a task are never dropped. An exception in a stage or a reader ends the process with exit code 5 and two log lines, because the state may be half changed. Log lines are key=value with node, role and configuration; absl's warning before flag parsing is gone.

--- a/poplarstep/edge/link.py
+++ b/poplarstep/edge/link.py
@@ -143,6 +143,9 @@
                 data = self.inbox.recv(block=False)
             except pynng.TryAgain:
                 break
+            except RuntimeError:
+                # pynng 0.9.0 raises it for a message of no bytes.
+                data = b''
             self.counters.received += 1
             self.counters.received_bytes += len(data)
             received = self._open_envelope(data)
--- a/poplarstep/edge/task.py
+++ b/poplarstep/edge/task.py
@@ -22,6 +22,7 @@
 
 from poplarstep.core import effect
 from poplarstep.edge import clock
+from poplarstep.edge import logs
 
 # A decoded datagram takes up to 2 kB, so a full inbox holds 32 MB.
 INBOX_MESSAGES = 16_384
@@ -96,8 +97,9 @@
                 try:
                     self.process(message)
                 except Exception as error:
-                    logging.error('task-failed task=%s message=%s error=%r',
-                                  self.name, type(message).__name__, error)
+                    logging.error('task-failed %s', ' '.join((
+                        logs.pair('message', type(message).__name__),
+                        logs.pair('error', repr(error)))))
                     raise
 
     def stop(self):
@@ -143,7 +145,7 @@
 def log_change(item):
     r"""Write the log line of a change of state."""
     logging.info('%s %s', item.event, ' '.join(
-        '%s=%s' % pair for pair in item.fields))
+        logs.pair(*field) for field in item.fields))
 
 
 def start(task):
--- /dev/null
+++ b/poplarstep/edge/tests/test_sockets.py
@@ -0,0 +1,135 @@
+import socket
+
+import gevent
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pynng
+import pytest
+
+from poplarstep.core import address
+from poplarstep.core import effect
+from poplarstep.core import stage
+from poplarstep.core import timer
+from poplarstep.dissemination import message as dissemination
+from poplarstep.edge import codec
+from poplarstep.edge import datagrams
+from poplarstep.edge import link
+from poplarstep.edge import task as tasks
+from poplarstep.edge import wire
+
+HERE = address.Address('127.37.0.1', 7000)
+POLL = dissemination.Poll('node', 1, 2, (), ())
+ENVELOPES = codec.Codec([link.Envelope])
+BODY = wire.make_control_codec().encode(POLL)
+GOOD = ENVELOPES.encode(link.Envelope('cluster', HERE, BODY))
+
+
+def wait_for(condition):
+    with gevent.Timeout(10):
+        while not condition():
+            gevent.sleep(0.002)
+
+
+@pytest.fixture(scope='module')
+def inbox():
+    links = link.open_links(
+        HERE, wire.make_control_codec(), 'cluster').unwrap()
+    delivered = []
+    reader = gevent.spawn(links.read_loop, delivered.extend)
+    sender = pynng.Push0(dial='tcp://%s' % HERE, block_on_dial=True)
+    yield links, delivered, reader, sender
+    sender.close()
+    reader.kill()
+    links.close()
+
+
+# What comes before a good message, and the counter that must grow.
+ODD_MESSAGES = (
+    (b'', 'malformed'), (b'\x01', 'malformed'), (GOOD[:-1], 'malformed'),
+    (b'\x02' + GOOD[1:], 'malformed'), (GOOD + b'\x00', 'malformed'),
+    (ENVELOPES.encode(link.Envelope('cluster', HERE, BODY[:-1])),
+     'malformed'),
+    (ENVELOPES.encode(link.Envelope('cluster', HERE, GOOD)), 'malformed'),
+    (ENVELOPES.encode(link.Envelope('other', HERE, BODY)), 'wrong_cluster'),
+)
+
+
+@pytest.mark.parametrize('odd, counter', ODD_MESSAGES)
+def test_inbox_counts_odd_messages_and_reads_on(inbox, odd, counter):
+    links, delivered, reader, sender = inbox
+    delivered.clear()
+    before = getattr(links.counters, counter)
+    sender.send(odd)
+    sender.send(GOOD)
+    wait_for(lambda: delivered)
+    assert delivered == [effect.Received(HERE, POLL)]
+    assert getattr(links.counters, counter) == before + 1
+
+
+@settings(max_examples=30)
+@given(batch=strategies.lists(
+    strategies.binary(max_size=100) | strategies.tuples(
+        strategies.integers(0, len(GOOD) - 1),
+        strategies.integers(0, 255)).map(
+            lambda pair: GOOD[:pair[0]] + bytes([pair[1]])
+            + GOOD[pair[0] + 1:]),
+    min_size=1, max_size=20))
+def test_no_message_ends_the_reader_of_the_inbox(inbox, batch):
+    links, delivered, reader, sender = inbox
+    before = links.counters.received
+    for data in batch:
+        sender.send(data)
+    wait_for(lambda: links.counters.received == before + len(batch))
+    assert not reader.ready()
+
+
+def test_invented_sources_do_not_grow_the_links_without_limit(monkeypatch):
+    monkeypatch.setattr(link, 'MAXIMUM_PEERS', 3)
+    links = link.Links(HERE, wire.make_control_codec(), 'cluster', None)
+    for port in range(1, 6):
+        links.send(effect.SendControl(
+            address.Address('127.37.0.2', port), POLL))
+    assert len(links.peer_by_address) == 3
+    assert links.counters.refused_peers == 2
+    for peer in list(links.peer_by_address.values()):
+        peer.greenlet.kill()
+
+
+def test_long_datagrams_are_counted_and_dropped():
+    delivered = []
+    opened = datagrams.open_datagram_socket(
+        address.Address('127.37.0.3', 0),
+        lambda source, data: data).unwrap()
+    reader = gevent.spawn(opened.read_loop, delivered.extend)
+    limit = datagrams.MAXIMUM_DATAGRAM_BYTES
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for size in (limit, limit + 1, 65000, 1):
+            sender.sendto(b'x' * size, (opened.bound.ip, opened.bound.port))
+    wait_for(lambda: opened.counters.received == 4)
+    reader.kill()
+    opened.close()
+    assert [len(data) for data in delivered] == [limit, 1]
+    assert opened.counters.malformed == 2
+
+
+def test_full_inbox_drops_packets_but_no_report(monkeypatch):
+    # A lost report of a call to the target would occupy its slot for good.
+    monkeypatch.setattr(tasks, 'INBOX_MESSAGES', 3)
+    seen = []
+    keep = stage.Stage('keep')
+    keep.handles(int)(lambda state, item, now: seen.append(item) or ())
+    task = tasks.Task(
+        'task', stage.Pipeline([(keep, None)]), timer.TimerQueue(), {})
+    task.post([1, 2])
+    task.post([3, 4])
+    task.report([5, 6])
+    task.post([7])
+    task.stop()
+    task.stopping = False
+    gevent.spawn(task.run).join(timeout=0.1)
+    assert seen == [1, 2, 5, 6]
+    assert task.counters.dropped_inbox == 3
+    task.post([8])
+    gevent.spawn(task.run).join(timeout=0.1)
+    assert seen[-1] == 8
--- a/poplarstep/edge/tests/test_target_client.py
+++ b/poplarstep/edge/tests/test_target_client.py
@@ -77,3 +77,14 @@
     closed.listen()
     assert call(place, 50)[0].ran is True
     closed.close()
+
+
+def test_a_deadline_beyond_any_timer_is_cut():
+    # Callers choose the number; too long a timer would raise.
+    server = gevent_server.StreamServer(
+        ('127.0.0.1', 0),
+        lambda connection, source: connection.sendall(ANSWER))
+    server.start()
+    place = address.Address('127.0.0.1', server.server_port)
+    assert call(place, 2**64 - 1)[0].payload == b'ok'
+    server.stop()
--- a/poplarstep/edge/web.py
+++ b/poplarstep/edge/web.py
@@ -9,6 +9,8 @@
 from gevent import pywsgi
 from returns import result
 
+from poplarstep.edge import logs
+
 MAXIMUM_BODY_BYTES = 1024 * 1024
 MAXIMUM_CONNECTIONS = 256
 LENGTH_PATTERN = re.compile('[0-9]{1,15}')
@@ -101,6 +103,6 @@
     try:
         return handler(body)
     except (ValueError, KeyError, TypeError) as error:
-        logging.warning('http-request-failed path=%s error=%s',
-                        environ['PATH_INFO'], error)
+        logging.warning('http-request-failed %s %s', logs.pair(
+            'path', environ['PATH_INFO']), logs.pair('error', error))
         return json_reply({'error': str(error)}, 400)
--- a/poplarstep/programs/daemon.py
+++ b/poplarstep/programs/daemon.py
@@ -13,6 +13,7 @@
 import poplarstep
 from poplarstep.core import registry
 from poplarstep.edge import clock
+from poplarstep.edge import logs
 from poplarstep.programs import agent
 from poplarstep.programs import balancer
 from poplarstep.programs import control
@@ -71,12 +72,14 @@
 def run(**flags):
     r"""Run one node until SIGTERM."""
     read = _read(flags)
-    _configure_logging(read)
+    formatter = logs.configure(read)
     built = BUILDERS.entry_by_name[read['role']](read)
     if isinstance(built, result.Failure):
         click.echo('cannot start: %s' % built.failure(), err=True)
         sys.exit(EXIT_CANNOT_START)
-    _serve(built.unwrap())
+    node = built.unwrap()
+    formatter.version = lambda: node.status()['version']
+    _serve(node)
 
 
 def _read(flags):
@@ -90,16 +93,9 @@
     return read.unwrap()
 
 
-def _configure_logging(read):
-    logging.use_absl_handler()
-    logging.set_verbosity(read['log-level'])
-    logging.set_stderrthreshold(read['log-level'])
-
-
 def _serve(node):
     r"""Wait for SIGTERM, then drain; a second SIGTERM ends at once."""
-    logging.info('node-started node=%s role=%s data_centre=%s',
-                 node.settings['node'], node.settings['role'],
+    logging.info('node-started data_centre=%s',
                  node.settings['data-centre'])
     asked = gevent_event.Event()
     asked_again = gevent_event.Event()
@@ -114,22 +110,22 @@
         _fail(node)
     cut = _drain(node, asked_again)
     nodes.close(node)
-    logging.info('node-stopped node=%s requests_cut=%d',
-                 node.settings['node'], cut)
+    logging.info('node-stopped requests_cut=%d at_once=%s', cut,
+                 'yes' if asked_again.is_set() else 'no')
     sys.exit(EXIT_CUT if cut else 0)
 
 
 def _fail(node):
     r"""End a process of which a part has ended; nothing can be drained."""
-    logging.error('node-failed node=%s exit_code=%d',
-                  node.settings['node'], EXIT_FAILED)
+    logging.error('node-failed exit_code=%d', EXIT_FAILED)
     logging.flush()
     os._exit(EXIT_FAILED)
 
 
 def _drain(node, asked_again):
     r"""Return the number of requests that were cut."""
-    logging.info('node-draining node=%s', node.settings['node'])
+    logging.info('node-draining drain_time_ms=%d',
+                 node.settings['drain-time'])
     node.ready = lambda: False
     drain = node.leave()
     deadline = clock.now_ms() + node.settings['drain-time']
--- a/poplarstep/programs/settings.py
+++ b/poplarstep/programs/settings.py
@@ -204,7 +204,8 @@
 @KINDS.register('number')
 def _number(setting, text):
     lowest, highest = setting.allowed
-    if not NUMBER_PATTERN.fullmatch(text) or not lowest <= int(text) <= highest:
+    if not NUMBER_PATTERN.fullmatch(text) or not (
+            lowest <= int(text) <= highest):
         return result.Failure('%r is not a whole number from %d to %d %s' % (
             text, lowest, highest, setting.unit))
     return result.Success(int(text))
--- /dev/null
+++ b/poplarstep/programs/tests/test_daemon.py
@@ -0,0 +1,187 @@
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+import pytest
+
+DAEMON = [sys.executable, '-m', 'poplarstep.programs.daemon', 'run']
+BALANCER = {
+    'role': 'balancer', 'node': 'b', 'data-centre': 'gs-a',
+    'cluster-key': 'key of these tests', 'control-address': '127.36.0.1:7000',
+    'http-address': '127.36.0.1:8000', 'upstreams': '127.36.0.9:7000',
+    'front-address': '127.36.0.1:7100', 'back-address': '127.36.0.1:7200',
+}
+AGENT = {
+    'role': 'agent', 'node': 'lookups/0', 'data-centre': 'gs-a',
+    'cluster-key': 'key of these tests', 'control-address': '127.36.0.2:7000',
+    'http-address': '127.36.0.2:8000', 'upstreams': '127.36.0.9:7000',
+    'agent-address': '127.36.0.2:7300',
+}
+CONTROL = {
+    'role': 'control', 'node': 'c', 'data-centre': 'gs-a',
+    'control-address': '127.36.0.3:7000', 'http-address': '127.36.0.3:8000',
+    'control-hosts': 'c=127.36.0.3:7000', 'start': 'bootstrap',
+}
+# Replaces a handler, as a fault in a stage would.
+FAULTY = '''
+from poplarstep.flow import packet
+from poplarstep.routing import gate
+from poplarstep.programs import daemon
+def fail(state, event, now):
+    raise RuntimeError('a fault')
+gate.GATE.handler_by_type[packet.Ingress] = fail
+daemon.main(['run'] + %r)
+'''
+
+
+def flags(values):
+    return [text for name, value in values.items()
+            for text in ('--' + name, value)]
+
+
+def start(values, **more):
+    return subprocess.Popen(
+        DAEMON + flags(values), stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT, text=True, **more)
+
+
+def finish(child):
+    try:
+        output, _ = child.communicate(timeout=20)
+    finally:
+        child.kill()
+    return child.returncode, output
+
+
+def request(place, path, body=None):
+    r"""Return ``(status, decoded JSON)``; wait for the server to start."""
+    deadline = time.monotonic() + 10
+    while True:
+        try:
+            with urllib.request.urlopen(
+                    'http://%s%s' % (place, path), body, 10) as reply:
+                return reply.status, json.load(reply)
+        except urllib.error.HTTPError as error:
+            return error.code, json.load(error)
+        except OSError:
+            if time.monotonic() > deadline:
+                raise
+            time.sleep(0.05)
+
+
+def holder(kind, text):
+    ip, port = text.split(':')
+    held = socket.socket(socket.AF_INET, kind)
+    held.bind((ip, int(port)))
+    if kind == socket.SOCK_STREAM:
+        held.listen()
+    return held
+
+
+# Settings, changes to them, the socket that is in use, exit code, texts.
+STARTS = (
+    (BALANCER, {}, (socket.SOCK_DGRAM, 'front-address'), 3,
+     ['cannot bind UDP 127.36.0.1:7100: Address already in use']),
+    (BALANCER, {}, (socket.SOCK_STREAM, 'http-address'), 3,
+     ['cannot listen on HTTP address 127.36.0.1:8000']),
+    (AGENT, {}, (socket.SOCK_STREAM, 'control-address'), 3,
+     ['cannot listen on control address 127.36.0.2:7000']),
+    (CONTROL, {'data-folder': '/proc/none/log'}, None, 3,
+     ['cannot start', '/proc/none/log']),
+    (BALANCER, {'upstreams': 'host:1', 'selector': 'best',
+                'opens-per-second': '9' * 5000, 'cluster-key': 'short'},
+     None, 2, ['--upstreams: ', '--selector: ', '--opens-per-second: ',
+               '--cluster-key: ', 'POPLARSTEP_TYPO: is not a setting']),
+    (AGENT, {'role': 'router'}, None, 2, ['--role: ']),
+)
+
+
+@pytest.mark.parametrize('base, change, in_use, code, texts', STARTS)
+def test_a_start_that_fails_says_why(
+        base, change, in_use, code, texts, monkeypatch):
+    held = in_use and holder(in_use[0], base[in_use[1]])
+    if code == 2:
+        monkeypatch.setenv('POPLARSTEP_TYPO', '1')
+    found, output = finish(start({**base, **change}))
+    if held:
+        held.close()
+    assert found == code, output
+    for text in texts:
+        assert text in output
+    # A secret must not reach the log, a traceback tells operators nothing.
+    assert 'short' not in output and 'Traceback' not in output
+
+
+def test_a_fault_in_a_stage_ends_the_process():
+    # It went on without its task: alive on /healthz, forwarding nothing.
+    child = subprocess.Popen(
+        [sys.executable, '-c', FAULTY % flags(BALANCER)],
+        stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+    request(BALANCER['http-address'], '/healthz')
+    header = bytes.fromhex('0d0a0d0a000d0a515549540a2112000c') + (
+        bytes([127, 0, 0, 1] * 2) + b'\0\1\0\1')
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.sendto(header + b'\x01\x92\xa4Open\x01', ('127.36.0.1', 7100))
+    code, output = finish(child)
+    assert code == 5
+    assert 'event=task-failed message=Ingress' in output
+    assert 'event=node-failed exit_code=5' in output
+
+
+def test_a_second_signal_ends_at_once_and_log_lines_have_keys():
+    child = start({**BALANCER, 'drain-time': '3600000'})
+    request(BALANCER['http-address'], '/healthz')
+    child.send_signal(signal.SIGTERM)
+    while request(BALANCER['http-address'], '/readyz')[0] != 503:
+        pass
+    time.sleep(0.2)
+    child.send_signal(signal.SIGTERM)
+    code, output = finish(child)
+    assert code == 0
+    lines = output.splitlines()
+    assert 'event=node-stopped requests_cut=0 at_once=yes' in lines[-1]
+    for line in lines:
+        assert line.startswith('time=')
+        assert ' node=b role=balancer configuration=0 event=' in line
+
+
+COMMAND = {'client': 'c', 'sequence': 1, 'text': 'remove service x'}
+POSTS = (
+    # Path, body, expected status.
+    ('/command', b'', 400), ('/command', b'\xff{', 400),
+    ('/command', b'[' * 100000, 400), ('/command', b'x' * 2**20 + b'x', 413),
+    ('/command', {**COMMAND, 'sequence': 2**70}, 400),
+    ('/command', {**COMMAND, 'sequence': -1}, 400),
+    ('/command', {**COMMAND, 'client': 'c' * 101}, 400),
+    ('/command', {**COMMAND, 'text': 'show version'}, 400),
+    ('/command', {**COMMAND, 'text': 'remove service ' + 'x' * 9999}, 400),
+    ('/command', {**COMMAND, 'more': 1}, 400),
+    # A statement that no control host answers ended the control task.
+    ('/query', {'text': 'remove service x'}, 400),
+    ('/query', {'text': 'show flows'}, 400),
+    ('/query', {'text': 'wait version 3'}, 400),
+    ('/query', {'text': 'show\x00version'}, 400),
+    ('/nowhere', {}, 404),
+    ('/query', {'text': 'show version'}, 200),
+)
+
+
+def test_bad_requests_leave_a_control_host_running(tmp_path):
+    child = start({**CONTROL, 'data-folder': str(tmp_path / 'log')})
+    place = CONTROL['http-address']
+    try:
+        while request(place, '/readyz')[0] != 200:
+            time.sleep(0.05)
+        for path, body, status in POSTS:
+            if not isinstance(body, bytes):
+                body = json.dumps(body).encode()
+            assert request(place, path, body)[0] == status, body[:80]
+    finally:
+        child.send_signal(signal.SIGTERM)
+        code, output = finish(child)
+    assert code == 0, output
