--- a/poplarstep/edge/codec.py
+++ b/poplarstep/edge/codec.py
@@ -5,8 +5,9 @@
 
 For each record class the codec derives a msgspec struct from the
 annotations of ``__init__``, so that a message of the wrong type, length or
-shape is rejected before a decision stage sees it. A message is the array
-``[kind, field, ...]`` where ``kind`` is the class name.
+shape is rejected before a decision stage sees it. A message is one byte
+with the version of the format and the array ``[kind, field, ...]`` where
+``kind`` is the class name.
 
 A packet from or to a caller that stands inside another message is carried
 in its encoded form; a balancer passes it on without encoding it again.
@@ -28,6 +29,8 @@
 # One message in one datagram or one pynng message. A configuration
 # snapshot of 36,000 targets has about 3 MB.
 MAXIMUM_MESSAGE_BYTES = 16 * 1024 * 1024
+FORMAT_VERSION = 1
+VERSION_BYTE = bytes([FORMAT_VERSION])
 
 
 class Conversion:
@@ -97,8 +100,10 @@
     >>> data = codec.encode(packet.Open(flow_key=7))
     >>> codec.decode(data).unwrap()
     Open(flow_key=7)
-    >>> codec.decode(b'\xc1').failure().startswith('malformed message')
+    >>> codec.decode(b'\x01\xc1').failure().startswith('malformed message')
     True
+    >>> codec.decode(b'\x02' + data[1:]).failure()
+    'malformed message: unknown version 2'
 
     """
 
@@ -116,8 +121,7 @@
 
     def encode(self, message):
         r"""Return the message as bytes."""
-        return self.encoder.encode(
-            self.plan_by_record[type(message)].make_struct(message))
+        return VERSION_BYTE + self._encode_array(message)
 
     def decode(self, data):
         r"""Return ``Success(record)`` or ``Failure(message)``."""
@@ -134,15 +138,23 @@
             return result.Failure(
                 'malformed message: %d bytes exceed %d'
                 % (len(data), MAXIMUM_MESSAGE_BYTES))
+        if data[:1] != VERSION_BYTE:
+            return result.Failure('malformed message: %s' % (
+                'unknown version %d' % data[0] if data else 'no bytes'))
+        array = data[1:]
         try:
-            struct = self.decoder.decode(data)
+            struct = self.decoder.decode(array)
             message = self.plan_by_struct[type(struct)].make_record(struct)
         except (msgspec.DecodeError, RecursionError, ValueError) as error:
             return result.Failure('malformed message: %s' % error)
         if isinstance(message, packet.CallerPacket):
-            message._wire = data
+            message._wire = array
         return message
 
+    def _encode_array(self, message):
+        return self.encoder.encode(
+            self.plan_by_record[type(message)].make_struct(message))
+
     def _plan_for(self, record_class):
         known = self.plan_by_record.get(record_class)
         if known is not None:
@@ -203,7 +215,8 @@
 
         def to_wire(value):
             wire = getattr(value, '_wire', None)
-            return msgspec.Raw(self.encode(value) if wire is None else wire)
+            return msgspec.Raw(
+                self._encode_array(value) if wire is None else wire)
 
         def from_wire(raw):
             struct = decoder.decode(raw)
--- a/poplarstep/programs/balancer.py
+++ b/poplarstep/programs/balancer.py
@@ -63,6 +63,10 @@
         item = packets.read(body)
         if type(item) not in packet.FROM_CALLER:
             return _misplaced(item)
+        if type(item) is packet.Request and (
+                len(item.payload) > packet.MAXIMUM_PAYLOAD_BYTES):
+            return result.Failure('payload of %d bytes exceeds %d' % (
+                len(item.payload), packet.MAXIMUM_PAYLOAD_BYTES))
         return packet.Ingress(packet.ReturnPath(
             fabric(source), caller, service), item, clock.now_ms())
 
