Test the ramp, the queue, the budgets and the shedder

Cause: each mechanism of the limits needs a test that fails without it. Change: parameterised tables and hypothesis properties.

--- a/poplarstep/limits/queue.py
+++ b/poplarstep/limits/queue.py
@@ -139,7 +139,6 @@
 
     def take(self, now):
         r"""Remove the next entry to serve, and those that are too late."""
-        self._update_mode(now)
         expired = self.expire(now)
         if not self.entry_by_key:
             return Taken(None, expired)
@@ -149,6 +148,7 @@
 
     def expire(self, now):
         r"""Remove the entries that are too late; return their keys."""
+        self._update_mode(now)
         latest = now
         if self.overloaded:
             latest = now + self.service_ms
--- a/poplarstep/limits/ramp.py
+++ b/poplarstep/limits/ramp.py
@@ -296,12 +296,13 @@
         self.grown_at = now
         if not used:
             step *= UNUSED_GROWTH
-        if self.level >= self.ceiling:
-            return
+        reached = self.level >= self.ceiling
         self.level = min(
             float(self.ceiling), self.level + step / self.caution)
-        if self.level >= self.ceiling:
-            self.cold = False
+        if self.level < self.ceiling:
+            return
+        self.cold = False
+        if not reached:
             self.caution = max(1, self.caution // 2)
 
     def _fall(self, now, latency_ms):
