--- a/poplarstep/routing/selectors.py
+++ b/poplarstep/routing/selectors.py
@@ -23,6 +23,7 @@
 SPEED_WEIGHT = 0.1
 MAXIMUM_CORRECTION = 1.25
 MAXIMUM_SPEED_RATIO = 8.0
+MAXIMUM_MOVE = 1.5
 
 
 def make_selector(name, random):
@@ -260,22 +261,19 @@
         return second if second_usable else None
 
     def _capacity(self, candidate, state, now):
-        capacity = float(candidate.slots)
-        if state.speed is None or self.mean_log_speed is None:
-            return capacity
+        if state.speed is None:
+            return float(candidate.slots)
         ratio = math.exp(state.speed - self.mean_log_speed)
-        capacity *= min(
+        ratio = min(
             MAXIMUM_SPEED_RATIO, max(1 / MAXIMUM_SPEED_RATIO, ratio))
-        if state.load.limit < candidate.slots:
-            capacity *= max(1, state.load.limit) / candidate.slots
-        return capacity * self._correction(state, now)
+        limit = max(1, min(state.load.limit, candidate.slots))
+        return limit * ratio * self._correction(state, now)
 
     def _correction(self, state, now):
         if state.unchanged >= FROZEN_AFTER or self.mean_log_use is None:
             return 1.0
         weight = math.exp((state.load_at - now) / REPORT_TIME_CONSTANT_MS)
-        excess = math.log(state.load.flows + 1) - state.speed
-        factor = math.exp(weight * (self.mean_log_use - excess))
+        factor = math.exp(weight * (self.mean_log_use - _log_use(state)))
         return min(MAXIMUM_CORRECTION, max(1 / MAXIMUM_CORRECTION, factor))
 
     def _learn(self, number, load):
@@ -287,11 +285,19 @@
             state.speed = speed
         state.speed += SPEED_WEIGHT * (speed - state.speed)
         self.mean_log_speed = _move(self.mean_log_speed, state.speed)
-        self.mean_log_use = _move(
-            self.mean_log_use, math.log(load.flows + 1) - state.speed)
+        if state.unchanged < FROZEN_AFTER:
+            self.mean_log_use = _move(self.mean_log_use, _log_use(state))
+
+
+def _log_use(state):
+    r"""Return the logarithm of the reported flows for each capacity."""
+    capacity = math.log(max(1, state.load.limit)) + state.speed
+    return math.log(state.load.flows + 1) - capacity
 
 
 def _move(average, sample):
+    r"""Move an average towards a sample, which may be a lie, by a little."""
     if average is None:
         return sample
-    return average + SPEED_WEIGHT * (sample - average)
+    distance = max(-MAXIMUM_MOVE, min(MAXIMUM_MOVE, sample - average))
+    return average + SPEED_WEIGHT * distance
