Measure a joining target, also with short flows

Cause: catching up with the others may overload a target that joins. Change: two scenarios in which target 0 joins at the end of the warm-up.

--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -8,6 +8,8 @@
 the mean over the samples of the highest utilisation divided by the mean of
 all targets; ``p99/mean`` is the 99th percentile over all targets and
 samples; ``slow/mean`` is the mean utilisation of the slowest targets;
+``first`` is the highest of target 0, which frozen, lying and joining
+concern;
 ``busy`` is max/mean of the measured busy time of the whole run.
 """
 
@@ -25,8 +27,8 @@
 ONE_FAST = (1.0,) + (0.25,) * 6
 FLOWS = 4800
 COLUMNS = (
-    'scenario', 'selector', 'max/mean', 'p99/mean', 'slow/mean', 'busy',
-    'refused')
+    'scenario', 'selector', 'max/mean', 'p99/mean', 'slow/mean', 'first',
+    'busy', 'refused')
 SCENARIOS = (
     spread_model.Scenario('delay 0 s', 3, SPEEDS, 0, 'none', FLOWS),
     spread_model.Scenario('delay 1 s', 3, SPEEDS, 1000, 'none', FLOWS),
@@ -36,6 +38,9 @@
     spread_model.Scenario(
         '300 balancers', 300, SPEEDS, 5000, 'none', FLOWS),
     spread_model.Scenario('1 of 7 fast', 3, ONE_FAST, 5000, 'none', 2200),
+    spread_model.Scenario('joins', 3, SPEEDS, 5000, 'joins', FLOWS),
+    spread_model.Scenario(
+        'joins, 10 s flows', 3, SPEEDS, 5000, 'joins', FLOWS, 10_000),
 )
 
 
@@ -60,6 +65,7 @@
         statistics.fmean(max(sample) for sample in relative),
         statistics.quantiles(values, n=100)[98],
         statistics.fmean(slow),
+        max(sample[0] for sample in relative),
         max(busy) / statistics.fmean(busy),
         model.refused,
     )
--- a/benchmarks/spread_model.py
+++ b/benchmarks/spread_model.py
@@ -20,7 +20,6 @@
 SLOTS = 2
 FAST_SERVICE_MS = 5.0
 MEAN_UTILISATION = 0.6
-FLOW_LIFE_MS = 120_000
 ANSWER_MS = 2
 REPORT_PERIOD_MS = 250
 SAMPLE_PERIOD_MS = 1000
@@ -42,20 +41,28 @@
         Age of a report when the balancer receives it.
     fault : str
         ``none``; ``frozen``: target 0 repeats the report that it made after
-        10 s; ``lying``: target 0 reports no flows and four times its speed.
+        10 s; ``lying``: target 0 reports no flows and four times its speed;
+        ``joins``: target 0 joins at the end of the warm-up.
     flows : int
         Mean number of open flows.
+    life_ms : int
+        Mean life of a flow.
     """
 
-    __slots__ = ('name', 'balancers', 'speeds', 'delay_ms', 'fault', 'flows')
+    __slots__ = (
+        'name', 'balancers', 'speeds', 'delay_ms', 'fault', 'flows',
+        'life_ms')
 
-    def __init__(self, name, balancers, speeds, delay_ms, fault, flows):
+    def __init__(
+            self, name, balancers, speeds, delay_ms, fault, flows,
+            life_ms=120_000):
         self.name = name
         self.balancers = balancers
         self.speeds = speeds
         self.delay_ms = delay_ms
         self.fault = fault
         self.flows = flows
+        self.life_ms = life_ms
 
 
 class Target:
@@ -108,7 +115,7 @@
             for number in range(scenario.balancers)]
         rate_per_ms = MEAN_UTILISATION * SLOTS * sum(
             scenario.speeds) / FAST_SERVICE_MS
-        self.gap_ms = FLOW_LIFE_MS / scenario.flows
+        self.gap_ms = scenario.life_ms / scenario.flows
         self.pause_ms = scenario.flows / rate_per_ms
         self.samples = []
         self.refused = 0
@@ -134,14 +141,17 @@
         self._schedule(
             now + self.random.expovariate(1 / self.gap_ms), ARRIVE, None)
         selector = self.random.choice(self.selectors)
-        number = selector.select(self.targets, int(now))
+        present = self.targets
+        if self.scenario.fault == 'joins' and now < self.warm_up_ms:
+            present = self.targets[1:]
+        number = selector.select(present, int(now))
         if number is None:
             self.refused += 1
             return
         selector.sent(number, int(now))
         target = self.targets[number]
         target.flows += 1
-        end = now + self.random.expovariate(1 / FLOW_LIFE_MS)
+        end = now + self.random.expovariate(1 / self.scenario.life_ms)
         self._schedule(end, LEAVE, target)
         self._schedule(now + ANSWER_MS, ANSWERED, (selector, target))
         self._next_request(now, target, end)
