Smooth speeds by time and shorten the memory of own opens

Cause: with flows of 10 s and reports 5 s old the load oscillated. Speeds were smoothed over a number of answers, so a busy balancer followed the noise of single reports, and the 30 s memory of own opens turned a change of the estimate into more opens than a target held flows. Change: speeds are smoothed over 10 s, and own opens decay over 10 s.

--- a/poplarstep/routing/selector_state.py
+++ b/poplarstep/routing/selector_state.py
@@ -6,7 +6,9 @@
 MAXIMUM_LOST_BACKOFF_MS = 4000
 MAXIMUM_REFUSED_BACKOFF_MS = 1600
 PROBE_TIMEOUT_MS = 10_000
-OPENS_TIME_CONSTANT_MS = 30_000
+# With 30 s and flows of 10 s, a change of the estimated capacity moved more
+# opens than there were flows, and the load oscillated (max/mean 1.34).
+OPENS_TIME_CONSTANT_MS = 10_000
 
 
 class TargetState:
--- a/poplarstep/routing/selectors.py
+++ b/poplarstep/routing/selectors.py
@@ -20,7 +20,8 @@
 SCAN_LENGTH = 16
 REPORT_TIME_CONSTANT_MS = 10_000
 FROZEN_AFTER = 8
-SPEED_WEIGHT = 0.1
+SPEED_TIME_CONSTANT_MS = 10_000
+MEAN_WEIGHT = 0.1
 MAXIMUM_CORRECTION = 1.25
 MAXIMUM_SPEED_RATIO = 8.0
 MAXIMUM_MOVE = 1.5
@@ -238,8 +239,11 @@
 
     def answered(self, number, load, now):
         r"""Record an accepted open and the load in its answer."""
-        super().answered(number, load, now)
-        self._learn(number, load)
+        state = self._state(number, now)
+        elapsed_ms = now - state.load_at
+        state.accepted(load, now)
+        if load is not None and load.latency_ms > 0:
+            self._learn(state, load.latency_ms, elapsed_ms)
 
     def estimate(self, candidate, now):
         r"""Return own recent opens for each unit of capacity."""
@@ -276,14 +280,12 @@
         factor = math.exp(weight * (self.mean_log_use - _log_use(state)))
         return min(MAXIMUM_CORRECTION, max(1 / MAXIMUM_CORRECTION, factor))
 
-    def _learn(self, number, load):
-        if load is None or load.latency_ms <= 0:
-            return
-        state = self.state_by_number[number]
-        speed = -math.log(load.latency_ms)
+    def _learn(self, state, latency_ms, elapsed_ms):
+        speed = -math.log(latency_ms)
         if state.speed is None:
             state.speed = speed
-        state.speed += SPEED_WEIGHT * (speed - state.speed)
+        weight = 1 - math.exp(-elapsed_ms / SPEED_TIME_CONSTANT_MS)
+        state.speed += max(0.0, weight) * (speed - state.speed)
         self.mean_log_speed = _move(self.mean_log_speed, state.speed)
         if state.unchanged < FROZEN_AFTER:
             self.mean_log_use = _move(self.mean_log_use, _log_use(state))
@@ -300,4 +302,4 @@
     if average is None:
         return sample
     distance = max(-MAXIMUM_MOVE, min(MAXIMUM_MOVE, sample - average))
-    return average + SPEED_WEIGHT * distance
+    return average + MEAN_WEIGHT * distance
