--- a/benchmarks/packets.py
+++ b/benchmarks/packets.py
@@ -31,6 +31,7 @@
 from poplarstep.flow import packet
 from poplarstep.flow import token
 from poplarstep.programs import balancer as balancers
+from poplarstep.routing import assembly
 
 KEY = b'benchmark-key-of-32-bytes-length'
 FRONT = address.Address('127.50.0.1', 7100)
@@ -83,10 +84,10 @@
 
 def _serve_balancer(targets):
     packets = codec.make_data_path_codec(token.Sealer([KEY]))
-    pipeline, subscribed, _ = balancers.make_pipeline({
+    pipeline, subscribed, _ = assembly.make_pipeline({
         'node': 'benchmark', 'upstreams': (FABRIC,),
         'without-control': 'refuse', 'selector': 'two-choices-aged',
-        'opens-per-second': 1_000_000})
+        'opens-per-second': 1_000_000}, 1, random.Random(1), clock.now_ms())
     subscribed.catalogue.apply(catalogue_changes(targets))
     subscribed.lease_until = clock.now_ms() + FOREVER_MS
     front = datagrams.open_datagram_socket(
--- a/poplarstep/programs/tests/test_bad_input.py
+++ b/poplarstep/programs/tests/test_bad_input.py
@@ -1,4 +1,5 @@
 import inspect
+import random
 import types
 import typing
 
@@ -11,6 +12,7 @@
 from poplarstep.core import address
 from poplarstep.core import record
 from poplarstep.core import timer
+from poplarstep.edge import clock
 from poplarstep.edge import codec
 from poplarstep.edge import datagrams
 from poplarstep.edge import proxy_header
@@ -19,7 +21,9 @@
 from poplarstep.flow import token
 from poplarstep.programs import agent
 from poplarstep.programs import balancer
+from poplarstep.requests import assembly as agent_assembly
 from poplarstep.requests import message
+from poplarstep.routing import assembly as balancer_assembly
 
 SEALER = token.Sealer([b'key of these tests'])
 PACKETS = codec.make_data_path_codec(SEALER)
@@ -114,15 +118,15 @@
 
 
 def balancer_task():
-    pipeline, _, state = balancer.make_pipeline(SETTINGS)
+    pipeline, _, state = balancer_assembly.make_pipeline(
+        SETTINGS, 3, random.Random(1), clock.now_ms())
     fill(state.catalogue, 3)
     return tasks.Task('b', pipeline, timer.TimerQueue(), (
         balancer.make_performers(PACKETS, Wire(), Wire(), NOWHERE)))
 
 
 def agent_task():
-    pipeline, state, _ = agent.make_pipeline(SETTINGS)
-    state.incarnation = 3
+    pipeline, state, _ = agent_assembly.make_pipeline(SETTINGS, 3)
     fill(state.catalogue, 3)
     performers = agent.make_performers(PACKETS, Wire(), NOWHERE, NOWHERE)
     performers.update({
