--- a/scenarios/tests/test_scenarios.py
+++ b/scenarios/tests/test_scenarios.py
@@ -200,3 +200,20 @@
 @then('{count:d} flows were cut')
 def flows_cut(system, count):
     assert system.first_agent().counters.flows_expired == count
+
+
+@then('retries stay within their budgets')
+def retries_within_budget(system):
+    seconds = system.driver.now / 1000
+    asked = len(system.asked)
+    assert system.caller.retries <= asked / 10 + seconds
+    for balancer in system.balancer_by_name.values():
+        counters = balancer.counters
+        assert counters.open_retried <= counters.opens / 10 + seconds
+
+
+@then('a flow is opened in at most {count:d} attempts a balancer')
+def open_attempts(system, count):
+    for balancer in system.balancer_by_name.values():
+        counters = balancer.counters
+        assert balancer.next_attempt - 1 <= count * counters.opens
