Let control followers pass on the leader's lease

Cause: a follower answered polls with lease 0, so every node went to the leader and stayed there.

Change: a follower polls the leader for the lease only, holds 100 ms, and passes on what is left; a lease for a version that its log has not applied waits for that version. Upstreams are chosen by a registered route: nodes start at an upstream that their name chooses, and return to it 5 s after a leader was named to them.

Conclusion: the lease bound holds through followers; polls spread over the control hosts.

--- a/poplarstep/dissemination/__init__.py
+++ b/poplarstep/dissemination/__init__.py
@@ -1,3 +1,3 @@
 """How configuration reaches every node and how nodes report."""
 
-__all__ = ['gathering', 'message', 'publisher', 'subscriber']
+__all__ = ['gathering', 'message', 'model', 'publisher', 'route', 'subscriber']
--- a/poplarstep/dissemination/message.py
+++ b/poplarstep/dissemination/message.py
@@ -37,6 +37,9 @@
         that no run takes an answer to an earlier run for its own.
     version : int
         Highest configuration version that the subscriber holds.
+    lease_only : bool
+        The subscriber is a control host that gets the configuration from
+        the replicated log.
     announcements : tuple of Announcement
         Facts of targets that the configuration does not show yet.
     positions : tuple of Position
@@ -44,15 +47,17 @@
     """
 
     __slots__ = (
-        'node', 'sequence', 'version', 'announcements', 'positions')
+        'node', 'sequence', 'version', 'lease_only', 'announcements',
+        'positions')
 
     def __init__(
-            self, node: str, sequence: int, version: int,
+            self, node: str, sequence: int, version: int, lease_only: bool,
             announcements: tuple[model.Announcement, ...],
             positions: tuple[Position, ...]):
         self.node = node
         self.sequence = sequence
         self.version = version
+        self.lease_only = lease_only
         self.announcements = announcements
         self.positions = positions
 
--- a/poplarstep/dissemination/model.py
+++ b/poplarstep/dissemination/model.py
@@ -19,6 +19,7 @@
 from poplarstep.core import effect
 from poplarstep.core import stage
 from poplarstep.core import timer
+from poplarstep.dissemination import gathering
 from poplarstep.dissemination import message
 from poplarstep.dissemination import publisher
 from poplarstep.dissemination import subscriber
@@ -279,11 +280,19 @@
     machine = machines.Machine()
     host.catalogue = machine.catalogue
     cluster.machine_by_name[host.name] = machine
+    gathered = gathering.Gathering()
+    host.subscribed = subscriber.make_follower(
+        host.name, 1, machine.catalogue,
+        lambda: None if cluster.leader is host else cluster.leader_address(),
+        gathered)
     host.published = publisher.make_publisher(
-        machine.catalogue, gathering_of(None),
-        lambda now: publisher.LEASE_MS if cluster.confirms(host) else 0,
+        machine.catalogue, gathered,
+        lambda now: publisher.LEASE_MS if cluster.confirms(host)
+        else subscriber.lease_left(host.subscribed, now),
         cluster.leader_address)
-    host.pipeline = stage.Pipeline([(publisher.PUBLISHER, host.published)])
+    host.pipeline = stage.Pipeline([
+        (subscriber.SUBSCRIBER, host.subscribed),
+        (publisher.PUBLISHER, host.published)])
     cluster.hosts.append(host)
     if cluster.leader is None:
         cluster.leader = host
@@ -291,12 +300,6 @@
     return host
 
 
-def gathering_of(subscribed):
-    r"""Return what a subscriber gathers, or an empty gathering."""
-    return (subscribed or subscriber.make_subscriber(
-        '', '', 0, None, (place(1, 0),))).gathered
-
-
 def add_node(network, name, role, where, upstreams, incarnation=None):
     r"""Add a balancer, which publishes too, or an agent."""
     node = Node(name, where, network.random.randrange(10**9))
@@ -318,4 +321,4 @@
 
 def relay_lease(node, now):
     r"""Return what is left of a relay's lease, in ms."""
-    return max(0, node.subscribed.lease_until - now)
+    return subscriber.lease_left(node.subscribed, now)
--- a/poplarstep/dissemination/publisher.py
+++ b/poplarstep/dissemination/publisher.py
@@ -27,6 +27,8 @@
 # Longest lease that an update grants. With a commit and a push of under
 # 500 ms, a data centre taken out receives no packet after 3 s.
 LEASE_MS = 2500
+# Control hosts ask the leader for their lease; there are at most six.
+LEASE_ONLY_HOLD_MS = 100
 MAXIMUM_WAITING = 16_384
 
 PUBLISHER = stage.Stage('publisher')
@@ -143,15 +145,19 @@
 
 
 def _must_answer(state, waiting, now):
+    waited = now - waiting.arrived_at
+    if waiting.poll.lease_only:
+        return waited >= LEASE_ONLY_HOLD_MS
     return (
         waiting.poll.version < state.catalogue.version
-        or now - waiting.arrived_at >= state.hold_ms
+        or waited >= state.hold_ms
         or state.lease_left(now) <= 0)
 
 
 def _answer(state, waiting, now):
     poll = waiting.poll
-    changes = state.catalogue.changes_since(poll.version)
+    changes = () if poll.lease_only else state.catalogue.changes_since(
+        poll.version)
     snapshot = None
     if changes is None:
         snapshot = state.catalogue.snapshot()
--- /dev/null
+++ b/poplarstep/dissemination/route.py
@@ -0,0 +1,102 @@
+r"""Which upstream a subscriber polls.
+
+Explanation
+===========
+
+A route is registered by name. ``destination`` takes ``now`` and returns an
+inbox or None; ``failed`` notes that no answer came; ``unconfirmed`` notes
+an answer without a lease and the leader that it named.
+"""
+
+import hashlib
+
+from poplarstep.core import registry
+
+# A node asks the leader that was named to it for this long and then goes
+# back to its own upstream, so that the nodes do not all stay at the leader.
+LEADER_HINT_MS = 5000
+
+ROUTES = registry.Registry('route')
+
+
+def spread(name, number, width):
+    r"""Return a number below ``width`` that depends on both arguments.
+
+    It takes the place of random jitter, so that runs can be repeated.
+
+    Examples
+    ========
+
+    >>> spread('agent-1', 1, 100), spread('agent-2', 1, 100)
+    (78, 97)
+
+    """
+    # CRC-32 spread names that differ in their last digits unevenly.
+    digest = hashlib.blake2b(
+        b'%s %d' % (name.encode(), number), digest_size=8).digest()
+    return int.from_bytes(digest, 'big') % width
+
+
+@ROUTES.register('seeds')
+class SeedRoute:
+    r"""Upstreams that are tried in turn, from one that the name chooses."""
+
+    __slots__ = ('seeds', 'current', 'leader', 'leader_until', 'switches')
+
+    def __init__(self, node, seeds):
+        self.seeds = tuple(seeds)
+        self.current = spread(node, 0, len(self.seeds))
+        self.leader = None
+        self.leader_until = 0
+        self.switches = 0
+
+    def destination(self, now):
+        r"""Return the inbox to poll."""
+        if self.leader is not None and now < self.leader_until:
+            return self.leader
+        self.leader = None
+        return self.seeds[self.current]
+
+    def failed(self):
+        r"""Turn to the next upstream."""
+        self.leader = None
+        self.current = (self.current + 1) % len(self.seeds)
+        self.switches += 1
+
+    def unconfirmed(self, source, leader, now):
+        r"""Ask the leader if another one was named, or the next upstream."""
+        if leader is None or leader == source:
+            self.failed()
+            return
+        self.leader = leader
+        self.leader_until = now + LEADER_HINT_MS
+
+
+@ROUTES.register('leader')
+class LeaderRoute:
+    r"""The control leader as this control host knows it.
+
+    Parameters
+    ==========
+
+    leader : callable
+        Returns the inbox of the leader, or None when there is none or when
+        it is this host.
+    """
+
+    __slots__ = ('leader', 'switches')
+
+    def __init__(self, leader):
+        self.leader = leader
+        self.switches = 0
+
+    def destination(self, now):
+        r"""Return the inbox of the leader, or None."""
+        return self.leader()
+
+    def failed(self):
+        r"""Count a missing answer; the replicated log finds a leader."""
+        self.switches += 1
+
+    def unconfirmed(self, source, leader, now):
+        r"""Ask the leader again."""
--- a/poplarstep/dissemination/subscriber.py
+++ b/poplarstep/dissemination/subscriber.py
@@ -18,6 +18,7 @@
 from poplarstep.core import timer
 from poplarstep.dissemination import gathering
 from poplarstep.dissemination import message
+from poplarstep.dissemination import route
 
 TICK = 'subscriber'
 TICK_PERIOD_MS = 50
@@ -38,25 +39,30 @@
 
     catalogue : Catalogue
         Shared with the other stages of the same task.
-    upstreams : sequence of Address
-        Inboxes of control hosts or relays, tried in turn.
+    route : object
+        From ``route.ROUTES``; names the upstream to poll.
+    lease_only : bool
+        The catalogue is fed by the replicated log; only the lease is
+        taken from updates.
     """
 
     __slots__ = (
-        'node', 'role', 'incarnation', 'catalogue', 'upstreams', 'current',
-        'leader', 'sequence', 'sent_at', 'waiting', 'not_before',
-        'lease_until', 'gathered', 'own_announcement', 'own_shown',
-        'reported_until', 'confirmed', 'switches')
+        'node', 'role', 'incarnation', 'catalogue', 'route', 'lease_only',
+        'sequence', 'sent_at', 'waiting', 'not_before', 'lease_until',
+        'pending_version', 'pending_until', 'gathered', 'own_announcement',
+        'own_shown', 'reported_until', 'confirmed')
 
     def __init__(
-            self, node, role, incarnation, catalogue, upstreams, gathered):
+            self, node, role, incarnation, catalogue, upstream_route,
+            gathered, lease_only):
         self.node = node
         self.role = role
         self.incarnation = incarnation
         self.catalogue = catalogue
-        self.upstreams = tuple(upstreams)
-        self.current = 0
-        self.leader = None
+        self.route = upstream_route
+        self.lease_only = lease_only
+        self.pending_version = 0
+        self.pending_until = 0
         self.sequence = incarnation
         self.sent_at = 0
         self.waiting = False
@@ -67,15 +73,31 @@
         self.own_shown = False
         self.reported_until = -1
         self.confirmed = False
-        self.switches = 0
 
 
 def make_subscriber(
         node, role, incarnation, catalogue, upstreams, gathered=None):
     r"""Return the state of a subscriber with no poll outstanding."""
     return SubscriberState(
-        node, role, incarnation, catalogue, upstreams,
-        gathering.Gathering() if gathered is None else gathered)
+        node, role, incarnation, catalogue,
+        route.ROUTES.entry_by_name['seeds'](node, upstreams),
+        gathering.Gathering() if gathered is None else gathered, False)
+
+
+def make_follower(node, incarnation, catalogue, leader, gathered):
+    r"""Return the state by which a control host asks for its lease.
+
+    ``leader`` returns the inbox of the leader, or None when there is none
+    or when it is this host.
+    """
+    return SubscriberState(
+        node, 'control', incarnation, catalogue,
+        route.ROUTES.entry_by_name['leader'](leader), gathered, True)
+
+
+def lease_left(state, now):
+    r"""Return for how many ms this node may pass its lease on."""
+    return max(0, state.lease_until - now)
 
 
 def lease_holds(state, now):
@@ -88,12 +110,13 @@
     r"""Send the first poll, or turn to the next upstream after a timeout."""
     if event.name != TICK:
         return [event]
+    _settle(state)
     messages = _lease_change(state, now)
     if state.waiting and now - state.sent_at >= POLL_TIMEOUT_MS:
-        _next_upstream(state)
+        state.route.failed()
         state.waiting = False
     if not state.waiting and now >= state.not_before:
-        messages.append(_poll(state, now))
+        messages.extend(_poll(state, now))
     return messages
 
 
@@ -102,7 +125,7 @@
     r"""Report this node's own target at once."""
     state.own_announcement = event.announcement
     state.incarnation = event.announcement.incarnation
-    return [_poll(state, now)]
+    return _poll(state, now)
 
 
 @SUBSCRIBER.handles(effect.Received)
@@ -117,17 +140,31 @@
     changed = _take_in(state, update)
     _judge_upstream(state, event.source, update, now)
     messages = _lease_change(state, now)
-    if state.confirmed:
+    if state.confirmed and not state.lease_only:
         messages.append(message.Confirmed())
     if changed:
         messages.append(message.CatalogueChanged(state.catalogue.version))
         messages.extend(_check_own_target(state))
     if now >= state.not_before:
-        messages.append(_poll(state, now))
+        messages.extend(_poll(state, now))
     return messages
 
 
+@SUBSCRIBER.handles(message.CatalogueChanged)
+def changed(state, event, now):
+    r"""Use a lease that waited for the replicated log."""
+    _settle(state)
+    return [event]
+
+
+def _settle(state):
+    if state.catalogue.version >= state.pending_version:
+        state.lease_until = max(state.lease_until, state.pending_until)
+
+
 def _take_in(state, update):
+    if state.lease_only:
+        return False
     if update.snapshot is not None:
         return state.catalogue.restore(update.snapshot)
     return state.catalogue.apply(update.changes)
@@ -157,25 +194,27 @@
 
 def _judge_upstream(state, source, update, now):
     r"""Extend the lease, or look for an upstream that can confirm."""
+    if update.lease_ms > 0 and state.lease_only:
+        # What this host lacks was committed after the leader confirmed, or
+        # is in the version that the lease waits for.
+        state.pending_version = update.version
+        state.pending_until = state.sent_at + update.lease_ms
+        _settle(state)
+        state.not_before = now
+        return
     if update.lease_ms > 0 and update.version >= state.catalogue.version:
         state.lease_until = max(
             state.lease_until, state.sent_at + update.lease_ms)
         state.not_before = now
         return
     state.not_before = now + UNCONFIRMED_PAUSE_MS
-    if update.leader is not None and update.leader != source:
-        state.leader = update.leader
-    else:
-        _next_upstream(state)
-
-
-def _next_upstream(state):
-    state.leader = None
-    state.current = (state.current + 1) % len(state.upstreams)
-    state.switches += 1
+    state.route.unconfirmed(source, update.leader, now)
 
 
 def _poll(state, now):
+    destination = state.route.destination(now)
+    if destination is None:
+        return []
     _keep_announcing(state)
     state.sequence += 1
     state.sent_at = now
@@ -185,11 +224,11 @@
     state.reported_until = now
     own = gathering.own_position(
         state.node, state.role, state.catalogue.version, state.incarnation)
-    destination = state.leader or state.upstreams[state.current]
-    return effect.SendControl(destination, message.Poll(
+    return [effect.SendControl(destination, message.Poll(
         state.node, state.sequence, state.catalogue.version,
+        state.lease_only,
         gathering.unconfirmed(state.gathered, state.catalogue),
-        (own,) + positions))
+        (own,) + positions))]
 
 
 def _keep_announcing(state):
--- a/poplarstep/dissemination/tests/schedule.py
+++ b/poplarstep/dissemination/tests/schedule.py
@@ -50,7 +50,7 @@
         assert version >= self.version_by_node.get(node, 0), (
             'version went back')
         self.version_by_node[node] = version
-        if node.subscribed is None or not subscriber.lease_holds(
+        if not subscriber.lease_holds(
                 node.subscribed, self.now + node.offset):
             return
         assert self.now < self.permitted.get(node, 0), (
@@ -102,7 +102,7 @@
     def nodes(self):
         r"""Return the nodes that subscribe."""
         return [item for item in self.network.node_by_address.values()
-                if item.subscribed is not None]
+                if item not in self.cluster.hosts]
 
     def run_command(self, body):
         r"""Commit a command that is based on the present version."""
@@ -145,3 +145,6 @@
         self.network.faults = model.Faults()
         for node in self.network.node_by_address.values():
             node.paused_until = min(node.paused_until, self.network.now)
+        self.cluster.replication_ms = 5
+        for host in self.cluster.hosts:
+            self.cluster.catch_up(host)
--- a/poplarstep/dissemination/tests/test_schedule.py
+++ b/poplarstep/dissemination/tests/test_schedule.py
@@ -35,6 +35,7 @@
             network.now + generator.randrange(4000))
     if generator.random() < 0.3:
         change_leader(world)
+    world.cluster.replication_ms = generator.choice((5, 5, 5000))
     for _ in range(generator.choice((1, 1, 2, 300))):
         world.toggle(out=generator.random() < 0.5)
     if generator.random() < 0.3:
@@ -93,6 +94,11 @@
     return RESTORE(held, snapshot)
 
 
+def settle_early(state):
+    r"""Use a lease for a version that the catalogue does not have."""
+    state.lease_until = max(state.lease_until, state.pending_until)
+
+
 def ignore_sequence(state, event, now):
     r"""Take any update for the answer to the latest poll."""
     if isinstance(event.message, message.Update):
@@ -122,6 +128,9 @@
     'an older snapshot is ignored': (functools.partial(
         patch.multiple, catalogue.Catalogue, restore=restore_any,
         changes_since=lambda held, version: None), 'version went back'),
+    'a control host waits for the version that was confirmed': (
+        functools.partial(patch.object, subscriber, '_settle', settle_early),
+        'lease holds without'),
     'an update belongs to its poll': (functools.partial(
         patch.dict, HANDLERS, {RECEIVED_TYPE: ignore_sequence}),
         'lease outlasts'),
@@ -188,11 +197,11 @@
     state = agent.subscribed
     world.toggle()
     world.network.run(500)
-    switches = state.switches
+    switches = state.route.switches
     world.network._deliver(
-        state.upstreams[state.current], agent.address,
+        state.route.destination(0), agent.address,
         update(state.sequence, 1))
-    assert state.switches == switches + 1
+    assert state.route.switches == switches + 1
     world.network.run(schedule.CONVERGENCE_MS)
 
 
@@ -215,7 +224,7 @@
     world.network.faults.cuts.add((leader.name, relay.name))
     cut_from = world.network.now
     world.network.run(2000)
-    assert relay.subscribed.switches, 'the silent upstream is kept'
+    assert relay.subscribed.route.switches, 'the silent upstream is kept'
     assert world.network.now - cut_from <= 2000
     world.network.faults.cuts.clear()
     world.network.run(schedule.CONVERGENCE_MS)
@@ -333,9 +342,9 @@
     assert sent.announcements == (announcement,)
     state.catalogue.apply([objects.Change(2, target(2, shown))])
     assert subscriber._check_own_target(state) == []
-    assert subscriber._poll(state, 2).message.announcements == ()
+    assert subscriber._poll(state, 2)[0].message.announcements == ()
     state.catalogue.apply([objects.Change(3, objects.Removal('target', 1))])
-    assert subscriber._poll(state, 3).message.announcements == (
+    assert subscriber._poll(state, 3)[0].message.announcements == (
         announcement,), 'a removed target is not announced again'
     state.catalogue.apply([objects.Change(4, target(4, shown + 1))])
     assert subscriber._check_own_target(state) == [], (
--- a/poplarstep/programs/balancer.py
+++ b/poplarstep/programs/balancer.py
@@ -75,7 +75,7 @@
         settings['upstreams'])
     published = publisher.make_publisher(
         catalogue, subscribed.gathered,
-        lambda now: max(0, subscribed.lease_until - now),
+        lambda now: subscriber.lease_left(subscribed, now),
         lambda: None, publisher.RELAY_HOLD_MS)
     serve_anyway = settings['without-control'] == 'serve'
     generator = random.Random()
--- a/poplarstep/programs/control.py
+++ b/poplarstep/programs/control.py
@@ -19,6 +19,7 @@
 from poplarstep.core import stage
 from poplarstep.dissemination import gathering
 from poplarstep.dissemination import publisher
+from poplarstep.dissemination import subscriber
 from poplarstep.edge import clock
 from poplarstep.edge import storage as storages
 from poplarstep.edge import web
@@ -93,7 +94,7 @@
     waiters = Waiters()
     node.timers.subscribe(
         replicas.TICK.name, replicas.TICK_MS, clock.now_ms())
-    nodes.subscribe(node, intake, publisher)
+    nodes.subscribe(node, intake, subscriber, publisher)
     node.exporter.add_counters('consensus', replica.counters)
     node.exporter.add_values(lambda: [
         ('control_version', {}, machine.catalogue.version),
@@ -138,9 +139,13 @@
     def current(now):
         return replicas.read_allowed(replica, now)
 
+    followed = subscriber.make_follower(
+        settings['node'], nodes.new_incarnation(), machine.catalogue,
+        lambda: other_leader_inbox(replica), gathered)
     published = publisher.make_publisher(
         machine.catalogue, gathered,
-        lambda now: publisher.LEASE_MS if current(now) else 0,
+        lambda now: publisher.LEASE_MS if current(now)
+        else subscriber.lease_left(followed, now),
         lambda: leader_inbox(replica))
     pipeline = stage.Pipeline([
         (query.QUERY, query.make_query_state(
@@ -152,6 +157,7 @@
         (replicas.REPLICA, replica),
         (application.APPLY, application.make_application(
             machine, commands.decode, commands.encode, commands.decode)),
+        (subscriber.SUBSCRIBER, followed),
         (publisher.PUBLISHER, published),
     ])
     return pipeline, machine, gathered
@@ -165,6 +171,13 @@
     return None
 
 
+def other_leader_inbox(replica):
+    r"""Return the inbox of the leader if it is another host, or None."""
+    if replica.leader == replica.identity:
+        return None
+    return leader_inbox(replica)
+
+
 def control_rows(replica):
     r"""Return the rows of ``show control``."""
     rows = []
