Send positions when they change and otherwise every 2 s

Change: a relay passes a position on at once when the version or the run of the node changes and otherwise 1.6 to 2.0 s after the last time, in groups of equal role and version, with 32 bits of the incarnation and the age in units of 100 ms. A report counts only when its poll was answered, and all is reported again to another upstream. Announcements are repeated every 1.5 to 2 s. The expiry of targets follows from the refresh (2 s), the hold of three levels (1.8 s) and a failover (4 s): 7.8 s in place of 6 s; an agent's later run no longer keeps the target of its former run alive.

--- a/poplarstep/control/intake.py
+++ b/poplarstep/control/intake.py
@@ -15,13 +15,16 @@
 from poplarstep.core import stage
 from poplarstep.core import timer
 from poplarstep.dissemination import gathering
+from poplarstep.dissemination import publisher
 from poplarstep.language import statement
 
 TICK = 'intake'
 TICK_PERIOD_MS = 50
-# A target that was not heard of for this long leaves the catalogue. It
-# covers an election and the change to another upstream.
-TARGET_EXPIRY_MS = 6000
+# A target that was not heard of for this long leaves the catalogue. Its
+# position is refreshed every 2 s and waits for up to 600 ms in the poll of
+# each of three levels; an election or a change of the upstream takes less
+# than 4 s.
+TARGET_EXPIRY_MS = gathering.REFRESH_MS + 3 * publisher.RELAY_HOLD_MS + 4000
 REPROPOSE_MS = 1000
 BATCH_OBJECTS = 1000
 DEFAULT_PRIORITY = 0
@@ -134,9 +137,12 @@
     r"""Return the targets that were silent since this host leads."""
     expiries = []
     for target in state.machine.catalogue.target_by_name.values():
-        heard = max(
-            state.leading_since,
-            state.gathered.heard_by_node.get(target.name, 0))
+        heard = state.leading_since
+        position = state.gathered.heard_by_node.get(target.name)
+        # A later run of the agent does not speak for the target.
+        if position is not None and (
+                position.run == gathering.run_of(target.incarnation)):
+            heard = max(heard, position.at)
         if now - heard > TARGET_EXPIRY_MS and _due(
                 state, (target.name, 'expiry'), now):
             expiries.append(
--- a/poplarstep/control/query.py
+++ b/poplarstep/control/query.py
@@ -127,11 +127,9 @@
     r"""Answer ``show nodes``: the version in force on each node."""
     version = state.machine.catalogue.version
     rows = [
-        (position.node, position.role, position.version,
-         version - position.version,
-         now - state.gathered.heard_by_node[node])
-        for node, position in sorted(
-            state.gathered.position_by_node.items())]
+        (node, heard.role, heard.version, version - heard.version,
+         now - heard.at)
+        for node, heard in sorted(state.gathered.heard_by_node.items())]
     return ('node', 'role', 'version', 'behind', 'silent_ms'), rows
 
 
--- a/poplarstep/dissemination/gathering.py
+++ b/poplarstep/dissemination/gathering.py
@@ -3,40 +3,115 @@
 Explanation
 ===========
 
-Announcements are kept until the catalogue shows them; positions are passed
-on once for each time that a node is heard. Both are bounded by the number
-of nodes below this one.
+Announcements are kept until the catalogue shows them. The position of a
+node is passed on at once when its version or its run changes, otherwise
+only when it was heard again after a refresh period. Both are bounded.
 """
 
+from poplarstep.core import record
 from poplarstep.dissemination import message
+from poplarstep.dissemination import route
 
 # A node that was not heard of for this long is no longer listed.
 POSITION_RETENTION_MS = 60_000
+SWEEP_MS = 1000
+# A position is repeated after this time, less a part that depends on the
+# name so that the repetitions do not come together. Every level uses the
+# same part, so a position waits for its repetition at the first level only.
+REFRESH_MS = 2000
+REFRESH_SPREAD_MS = 400
+# An announcement that the catalogue does not show is repeated after this.
+REPEAT_MS = 2000
+REPEAT_SPREAD_MS = 500
+# Nearly three times the 39,100 nodes that the largest deployment has.
+MAXIMUM_NODES = 100_000
+RUN_MODULUS = 1 << 32
+
+
+class Heard(record.Record):
+    r"""Position of a node; ``run`` holds 32 bits of its incarnation."""
+
+    __slots__ = ('role', 'version', 'run', 'at')
+
+    def __init__(self, role: str, version: int, run: int, at: int):
+        self.role = role
+        self.version = version
+        self.run = run
+        self.at = at
 
 
 class Gathering:
-    r"""Announcements and positions of the nodes below a publisher."""
+    r"""Announcements and positions of the nodes below a publisher.
+
+    ``reported_by_node`` holds what the upstream has confirmed to know, and
+    ``announced_at`` when an announcement was passed on last.
+    """
 
     __slots__ = (
-        'announcement_by_name', 'position_by_node', 'heard_by_node')
+        'announcement_by_name', 'announced_at', 'heard_by_node',
+        'reported_by_node', 'sweep_due', 'refused')
 
     def __init__(self):
         self.announcement_by_name = {}
-        self.position_by_node = {}
+        self.announced_at = {}
         self.heard_by_node = {}
+        self.reported_by_node = {}
+        self.sweep_due = 0
+        self.refused = 0
+
+
+def run_of(incarnation):
+    r"""Return the part of an incarnation that positions carry.
+
+    Examples
+    ========
+
+    >>> run_of(2**32 + 5)
+    5
+
+    """
+    return incarnation % RUN_MODULUS
 
 
 def take_in(gathering, poll, now):
     r"""Record what a poll reports."""
     for announcement in poll.announcements:
-        known = gathering.announcement_by_name.get(announcement.name)
-        if known is None or order(known) < order(announcement):
-            gathering.announcement_by_name[announcement.name] = announcement
-    for position in poll.positions:
-        heard = now - position.age_ms
-        if heard >= gathering.heard_by_node.get(position.node, heard):
-            gathering.position_by_node[position.node] = position
-            gathering.heard_by_node[position.node] = heard
+        note_announcement(gathering, announcement)
+    _note(gathering, poll.node, Heard(
+        poll.role, poll.version, run_of(poll.incarnation), now))
+    for standing in poll.standings:
+        for node, run, age in zip(
+                standing.nodes, standing.runs, standing.ages):
+            _note(gathering, node, Heard(
+                standing.role, standing.version, run,
+                now - age * message.AGE_UNIT_MS))
+
+
+def note_announcement(gathering, announcement):
+    r"""Keep an announcement unless a later one is held."""
+    known = gathering.announcement_by_name.get(announcement.name)
+    if known is None:
+        if len(gathering.announcement_by_name) >= MAXIMUM_NODES:
+            gathering.refused += 1
+            return
+    elif order(known) >= order(announcement):
+        return
+    gathering.announcement_by_name[announcement.name] = announcement
+    gathering.announced_at.pop(announcement.name, None)
+
+
+def _note(gathering, node, heard):
+    known = gathering.heard_by_node.get(node)
+    if known is None:
+        if len(gathering.heard_by_node) >= MAXIMUM_NODES:
+            gathering.refused += 1
+            return
+    elif heard.at < known.at:
+        return
+    elif known.run == heard.run and heard.version < known.version:
+        # A node never goes back; this poll was overtaken.
+        heard.version = known.version
+    gathering.heard_by_node[node] = heard
 
 
 def order(facts):
@@ -50,25 +125,72 @@
         shown = catalogue.target_by_name.get(name)
         if shown is not None and order(shown) >= order(announcement):
             del gathering.announcement_by_name[name]
+            gathering.announced_at.pop(name, None)
     return tuple(gathering.announcement_by_name.values())
 
 
-def positions_heard_since(gathering, since, now):
-    r"""Return the positions of nodes heard after a time, with their age."""
+def due_announcements(gathering, catalogue, now):
+    r"""Return the announcements to pass on now, and note that."""
+    due = []
+    for announcement in unconfirmed(gathering, catalogue):
+        name = announcement.name
+        last = gathering.announced_at.get(name)
+        if last is None or now - last >= REPEAT_MS - route.spread(
+                name, 1, REPEAT_SPREAD_MS):
+            gathering.announced_at[name] = now
+            due.append(announcement)
+    return tuple(due)
+
+
+def due_positions(gathering):
+    r"""Return ``(node, Heard)`` pairs that the upstream should know."""
+    due = []
+    for node, heard in gathering.heard_by_node.items():
+        known = gathering.reported_by_node.get(node)
+        if known is heard:
+            continue
+        if known is None or (known.version, known.run) != (
+                heard.version, heard.run) or (
+                heard.at - known.at >= REFRESH_MS - route.spread(
+                    node, 0, REFRESH_SPREAD_MS)):
+            due.append((node, heard))
+    return due
+
+
+def standings(positions, now):
+    r"""Return positions in the compact form of a poll."""
+    group_by_key = {}
+    for node, heard in positions:
+        group_by_key.setdefault(
+            (heard.role, heard.version), []).append((node, heard))
     return tuple(
-        position.replace(age_ms=max(0, now - heard))
-        for node, position in gathering.position_by_node.items()
-        if (heard := gathering.heard_by_node[node]) > since)
+        message.Standing(
+            role, version, tuple(node for node, _ in group),
+            tuple(heard.run for _, heard in group),
+            tuple(max(0, now - heard.at) // message.AGE_UNIT_MS
+                  for _, heard in group))
+        for (role, version), group in group_by_key.items())
+
+
+def reported(gathering, positions):
+    r"""Note that the upstream has answered a poll with these positions."""
+    gathering.reported_by_node.update(positions)
+
+
+def upstream_changed(gathering):
+    r"""Report everything again; another upstream knows nothing of it."""
+    gathering.reported_by_node.clear()
+    gathering.announced_at.clear()
 
 
 def forget_silent(gathering, now):
-    r"""Drop the positions of nodes that were silent for too long."""
+    r"""Drop what belongs to nodes that were silent for too long."""
+    if now < gathering.sweep_due:
+        return
+    gathering.sweep_due = now + SWEEP_MS
     for node, heard in list(gathering.heard_by_node.items()):
-        if now - heard > POSITION_RETENTION_MS:
+        if now - heard.at > POSITION_RETENTION_MS:
             del gathering.heard_by_node[node]
-            del gathering.position_by_node[node]
-
-
-def own_position(node, role, version, incarnation):
-    r"""Return the position of this node, heard just now."""
-    return message.Position(node, role, version, incarnation, 0)
+            gathering.reported_by_node.pop(node, None)
+            gathering.announcement_by_name.pop(node, None)
+            gathering.announced_at.pop(node, None)
--- a/poplarstep/dissemination/message.py
+++ b/poplarstep/dissemination/message.py
@@ -5,23 +5,35 @@
 from poplarstep.core import record
 
 
-class Position(record.Record):
-    r"""The configuration version that a node has in force.
+# Ages are sent in this unit, so that most of them take one byte.
+AGE_UNIT_MS = 100
 
-    ``age_ms`` is the time since the node was last heard, as counted by the
-    relays on the way.
+
+class Standing(record.Record):
+    r"""Nodes of one role that have the same configuration version.
+
+    Parameters
+    ==========
+
+    nodes : tuple of str
+        Names.
+    runs : tuple of int
+        Low 32 bits of each node's incarnation.
+    ages : tuple of int
+        Time since each node was last heard, in units of 100 ms, as counted
+        by the relays on the way.
     """
 
-    __slots__ = ('node', 'role', 'version', 'incarnation', 'age_ms')
+    __slots__ = ('role', 'version', 'nodes', 'runs', 'ages')
 
     def __init__(
-            self, node: str, role: str, version: int, incarnation: int,
-            age_ms: int):
-        self.node = node
+            self, role: str, version: int, nodes: tuple[str, ...],
+            runs: tuple[int, ...], ages: tuple[int, ...]):
         self.role = role
         self.version = version
-        self.incarnation = incarnation
-        self.age_ms = age_ms
+        self.nodes = nodes
+        self.runs = runs
+        self.ages = ages
 
 
 class Poll(record.Record):
@@ -30,8 +42,8 @@
     Parameters
     ==========
 
-    node : str
-        Name of the subscriber.
+    node, role, incarnation
+        Name, role and run of the subscriber.
     sequence : int
         Matches the ``Update`` to the poll; it starts at the incarnation, so
         that no run takes an answer to an earlier run for its own.
@@ -42,24 +54,28 @@
         the replicated log.
     announcements : tuple of Announcement
         Facts of targets that the configuration does not show yet.
-    positions : tuple of Position
-        Nodes that were heard of since the previous poll.
+    standings : tuple of Standing
+        Nodes below the subscriber whose version has changed or that have
+        not been reported for a while.
     """
 
     __slots__ = (
-        'node', 'sequence', 'version', 'lease_only', 'announcements',
-        'positions')
+        'node', 'role', 'incarnation', 'sequence', 'version', 'lease_only',
+        'announcements', 'standings')
 
     def __init__(
-            self, node: str, sequence: int, version: int, lease_only: bool,
+            self, node: str, role: str, incarnation: int, sequence: int,
+            version: int, lease_only: bool,
             announcements: tuple[model.Announcement, ...],
-            positions: tuple[Position, ...]):
+            standings: tuple[Standing, ...]):
         self.node = node
+        self.role = role
+        self.incarnation = incarnation
         self.sequence = sequence
         self.version = version
         self.lease_only = lease_only
         self.announcements = announcements
-        self.positions = positions
+        self.standings = standings
 
 
 class Update(record.Record):
--- a/poplarstep/dissemination/publisher.py
+++ b/poplarstep/dissemination/publisher.py
@@ -127,7 +127,7 @@
 
 def _precedes(poll, other):
     return (
-        poll.positions[0].incarnation == other.positions[0].incarnation
+        poll.incarnation == other.incarnation
         and poll.sequence < other.sequence)
 
 
--- a/poplarstep/dissemination/subscriber.py
+++ b/poplarstep/dissemination/subscriber.py
@@ -50,7 +50,7 @@
         'node', 'role', 'incarnation', 'catalogue', 'route', 'lease_only',
         'sequence', 'sent_at', 'waiting', 'not_before', 'lease_until',
         'pending_version', 'pending_until', 'gathered', 'own_announcement',
-        'own_shown', 'reported_until', 'confirmed')
+        'own_shown', 'reporting', 'confirmed')
 
     def __init__(
             self, node, role, incarnation, catalogue, upstream_route,
@@ -71,7 +71,7 @@
         self.gathered = gathered
         self.own_announcement = None
         self.own_shown = False
-        self.reported_until = -1
+        self.reporting = ()
         self.confirmed = False
 
 
@@ -114,6 +114,7 @@
     messages = _lease_change(state, now)
     if state.waiting and now - state.sent_at >= POLL_TIMEOUT_MS:
         state.route.failed()
+        gathering.upstream_changed(state.gathered)
         state.waiting = False
     if not state.waiting and now >= state.not_before:
         messages.extend(_poll(state, now))
@@ -137,6 +138,7 @@
     if not state.waiting or update.sequence != state.sequence:
         return []
     state.waiting = False
+    gathering.reported(state.gathered, state.reporting)
     changed = _take_in(state, update)
     _judge_upstream(state, event.source, update, now)
     messages = _lease_change(state, now)
@@ -209,6 +211,8 @@
         return
     state.not_before = now + UNCONFIRMED_PAUSE_MS
     state.route.unconfirmed(source, update.leader, now)
+    if state.route.destination(now) != source:
+        gathering.upstream_changed(state.gathered)
 
 
 def _poll(state, now):
@@ -219,16 +223,12 @@
     state.sequence += 1
     state.sent_at = now
     state.waiting = True
-    positions = gathering.positions_heard_since(
-        state.gathered, state.reported_until, now)
-    state.reported_until = now
-    own = gathering.own_position(
-        state.node, state.role, state.catalogue.version, state.incarnation)
+    state.reporting = gathering.due_positions(state.gathered)
     return [effect.SendControl(destination, message.Poll(
-        state.node, state.sequence, state.catalogue.version,
-        state.lease_only,
-        gathering.unconfirmed(state.gathered, state.catalogue),
-        (own,) + positions))]
+        state.node, state.role, state.incarnation, state.sequence,
+        state.catalogue.version, state.lease_only,
+        gathering.due_announcements(state.gathered, state.catalogue, now),
+        gathering.standings(state.reporting, now)))]
 
 
 def _keep_announcing(state):
@@ -239,7 +239,7 @@
     """
     own = state.own_announcement
     if own is not None:
-        state.gathered.announcement_by_name[own.name] = own
+        gathering.note_announcement(state.gathered, own)
 
 
 def _lease_change(state, now):
