Carry out the commands for control hosts

Cause: add, promote, remove and replace control were parsed but answered with "unknown" after a timeout.

Change: a stage turns them into changes of the membership. Outcomes are applied, refused with a reason, or unknown; a change that is in force already counts as applied, so a resend is idempotent. `replace` takes out a host and adds another as a learner in one change. A promotion by hand only reports, because the leader promotes a learner when its log is complete.

--- a/poplarstep/control/application.py
+++ b/poplarstep/control/application.py
@@ -102,6 +102,22 @@
     return [dissemination.CatalogueChanged(state.machine.catalogue.version)]
 
 
+@APPLY.handles(consensus.MembershipChanged)
+def membership_changed(state, event, now):
+    r"""Tell the operator that the control hosts have changed."""
+    messages = [effect.LogChange('membership-changed', (
+        ('index', event.index),
+        ('voters', ','.join(
+            item.identity.name for item in event.members if item.voter)),
+        ('learners', ','.join(
+            item.identity.name for item in event.members
+            if not item.voter))))]
+    if event.key:
+        messages.append(message.CommandReply(event.key, command.Outcome(
+            command.APPLIED, state.machine.catalogue.version, ''), ''))
+    return messages
+
+
 @APPLY.handles(consensus.ProposalRefused)
 def proposal_refused(state, event, now):
     r"""Tell the operator that the command is in no log."""
--- /dev/null
+++ b/poplarstep/control/tests/test_hosts.py
@@ -0,0 +1,103 @@
+"""Repair of control hosts with real processes on loopback."""
+
+import os
+import shutil
+import time
+
+import pytest
+
+from standins import deployment
+from standins import processes as children
+
+NETWORK = 45
+WAIT_S = 10
+
+
+@pytest.fixture
+def hosts(tmp_path):
+    r"""Three control hosts that form a group."""
+    layout = deployment.make_layout('nile-hood', str(tmp_path), NETWORK)
+    with open(os.devnull, 'wb') as log:
+        started = children.make_processes(layout, log)
+        try:
+            for index in range(layout.controls):
+                started.start_control(index)
+            yield started
+        finally:
+            started.kill_all()
+
+
+def wait_for(condition, what):
+    r"""Wait until a condition holds."""
+    deadline = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < deadline, what
+        time.sleep(0.1)
+
+
+def voters(hosts):
+    r"""Return ``(name, voter)`` of the control hosts."""
+    return [(row[0], row[3]) for row in hosts.run('show control').rows]
+
+
+def answering(hosts):
+    r"""Return the names of the members whose log is complete."""
+    rows = hosts.run('show control').rows
+    longest = max((row[4] or 0) for row in rows)
+    return [row[0] for row in rows
+            if row[2] == 'leader' or row[4] == longest]
+
+
+def lose_and_replace(hosts, index):
+    r"""Stop a host, wipe its disk, start it and replace it."""
+    name = 'control-%d' % index
+    place = hosts.layout.place(
+        deployment.CONTROL, index, deployment.CONTROL_PORT)
+    statement = 'replace control %s by %s %s' % (name, name, place)
+    hosts.kill(name)
+    shutil.rmtree('%s/%s' % (hosts.layout.folder, name))
+    wait_for(lambda: hosts.run(statement).rows[0][0] == 'refused',
+             'replaced by a host that nobody has heard')
+    hosts.start_control(index, start='join')
+    wait_for(lambda: hosts.run(statement).code == 0, 'not replaced')
+    again = hosts.run(statement)
+    assert again.rows[0][0] == 'applied', 'a resend is not idempotent'
+    wait_for(
+        lambda: (name, True) in voters(hosts) and (
+            name in answering(hosts)), 'not promoted')
+    assert hosts.run('promote control %s' % name).code == 0
+
+
+def test_two_hosts_are_lost_one_after_the_other(hosts):
+    r"""Guards against commands that are lost with a second host."""
+    create = 'create service s%d address 10.0.0.%d:5000'
+    assert hosts.run(create % (1, 1)).code == 0
+    lose_and_replace(hosts, 2)
+    assert hosts.run(create % (2, 2)).code == 0
+    lose_and_replace(hosts, 0)
+    assert hosts.run(create % (3, 3)).code == 0
+    rows = hosts.run('show services').rows
+    assert [row[0] for row in rows] == ['s1', 's2', 's3']
+    assert sorted(voters(hosts)) == [
+        ('control-%d' % index, True) for index in range(3)]
+
+
+OUTCOMES = (
+    # statement, status, text in the reason
+    ('add control control-1 127.45.1.2:7000', 'applied', 'in force'),
+    ('add control control-9 127.45.1.9:7000', 'refused', 'not-heard'),
+    ('promote control control-1', 'applied', 'in force'),
+    ('promote control control-9', 'refused', 'not-member'),
+    ('replace control control-8 by control-9 127.45.1.9:7000', 'refused',
+     'not-member'),
+    ('remove control control-2', 'applied', ''),
+    ('remove control control-2', 'applied', 'in force'),
+)
+
+
+def test_outcomes_of_membership_commands(hosts):
+    r"""Guards against untyped outcomes and resends that fail."""
+    wait_for(lambda: hosts.run('show control').code == 0, 'no leader')
+    for text, status, reason in OUTCOMES:
+        row = hosts.run(text).rows[0]
+        assert row[0] == status and reason in row[2], (text, row)
--- a/poplarstep/programs/control.py
+++ b/poplarstep/programs/control.py
@@ -12,6 +12,7 @@
 from poplarstep.consensus import replica as replicas
 from poplarstep.consensus import state as consensus_states
 from poplarstep.control import application
+from poplarstep.control import hosts
 from poplarstep.control import intake
 from poplarstep.control import message
 from poplarstep.control import query
@@ -99,7 +100,7 @@
     node.exporter.add_values(lambda: [
         ('control_version', {}, machine.catalogue.version),
         ('control_targets', {}, len(machine.catalogue.target_by_number)),
-        ('control_nodes', {}, len(gathered.position_by_node)),
+        ('control_nodes', {}, len(gathered.heard_by_node)),
         ('control_leads', {}, int(replica.role == consensus_states.LEADER)),
     ])
     node.status = lambda: _status(replica, machine)
@@ -152,6 +153,7 @@
             machine, gathered, current,
             lambda: consensus_states.leader_name(replica),
             lambda: control_rows(replica))),
+        (hosts.HOSTS, hosts.make_hosts(replica, machine)),
         (intake.INTAKE, intake.make_intake(
             machine, gathered, current, commands.encode)),
         (replicas.REPLICA, replica),
@@ -186,7 +188,7 @@
         leads = member.identity == replica.leader
         rows.append((
             member.identity.name, str(member.address),
-            'leader' if leads else 'follower',
+            'leader' if leads else 'follower' if member.voter else 'learner',
             member.voter, progress.match_index if progress else None))
     return rows
 
@@ -204,7 +206,6 @@
     performers.update({
         consensus.Stored: lambda item: [item],
         consensus.Proposed: lambda item: (),
-        consensus.MembershipChanged: lambda item: (),
         consensus.LeadershipChanged: lambda item: (),
         consensus.LeaseExtended: lambda item: (),
         effect.SendControl: links.send,
