--- a/poplarstep/edge/tests/test_sockets.py
+++ b/poplarstep/edge/tests/test_sockets.py
@@ -19,7 +19,8 @@
 from poplarstep.edge import wire
 
 HERE = address.Address('127.37.0.1', 7000)
-POLL = dissemination.Poll('node', 1, 2, (), ())
+POLL = dissemination.Poll(
+    'node', 'balancer', 1, 1, 2, False, (), ())
 ENVELOPES = codec.Codec([link.Envelope])
 BODY = wire.make_control_codec().encode(POLL)
 GOOD = ENVELOPES.encode(link.Envelope('cluster', HERE, BODY))
--- a/poplarstep/programs/control.py
+++ b/poplarstep/programs/control.py
@@ -13,6 +13,7 @@
 from poplarstep.consensus import replica as replicas
 from poplarstep.consensus import state as consensus_states
 from poplarstep.control import application
+from poplarstep.control import hosts
 from poplarstep.control import intake
 from poplarstep.control import message
 from poplarstep.control import query
@@ -20,6 +21,7 @@
 from poplarstep.core import stage
 from poplarstep.dissemination import gathering
 from poplarstep.dissemination import publisher
+from poplarstep.dissemination import subscriber
 from poplarstep.edge import clock
 from poplarstep.edge import storage as storages
 from poplarstep.edge import web
@@ -95,12 +97,12 @@
     waiters = Waiters()
     node.timers.subscribe(
         replicas.TICK.name, replicas.TICK_MS, clock.now_ms())
-    nodes.subscribe(node, intake, publisher)
+    nodes.subscribe(node, intake, subscriber, publisher)
     node.exporter.add_counters('consensus', replica.counters)
     node.exporter.add_values(lambda: [
         ('control_version', {}, machine.catalogue.version),
         ('control_targets', {}, len(machine.catalogue.target_by_number)),
-        ('control_nodes', {}, len(gathered.position_by_node)),
+        ('control_nodes', {}, len(gathered.heard_by_node)),
         ('control_leads', {}, int(replica.role == consensus_states.LEADER)),
     ])
     node.status = lambda: _status(replica, machine)
@@ -140,20 +142,26 @@
     def current(now):
         return replicas.read_allowed(replica, now)
 
+    followed = subscriber.make_follower(
+        settings['node'], nodes.new_incarnation(), machine.catalogue,
+        lambda: other_leader_inbox(replica), gathered)
     published = publisher.make_publisher(
         machine.catalogue, gathered,
-        lambda now: publisher.LEASE_MS if current(now) else 0,
+        lambda now: publisher.LEASE_MS if current(now)
+        else subscriber.lease_left(followed, now),
         lambda: leader_inbox(replica))
     pipeline = stage.Pipeline([
         (query.QUERY, query.make_query_state(
             machine, gathered, current,
             lambda: consensus_states.leader_name(replica),
             lambda: control_rows(replica))),
+        (hosts.HOSTS, hosts.make_hosts(replica, machine)),
         (intake.INTAKE, intake.make_intake(
             machine, gathered, current, commands.encode)),
         (replicas.REPLICA, replica),
         (application.APPLY, application.make_application(
             machine, commands.decode, commands.encode, commands.decode)),
+        (subscriber.SUBSCRIBER, followed),
         (publisher.PUBLISHER, published),
     ])
     return pipeline, machine, gathered
@@ -167,6 +175,13 @@
     return None
 
 
+def other_leader_inbox(replica):
+    r"""Return the inbox of the leader if it is another host, or None."""
+    if replica.leader == replica.identity:
+        return None
+    return leader_inbox(replica)
+
+
 def control_rows(replica):
     r"""Return the rows of ``show control``."""
     rows = []
@@ -175,7 +190,7 @@
         leads = member.identity == replica.leader
         rows.append((
             member.identity.name, str(member.address),
-            'leader' if leads else 'follower',
+            'leader' if leads else 'follower' if member.voter else 'learner',
             member.voter, progress.match_index if progress else None))
     return rows
 
@@ -193,7 +208,6 @@
     performers.update({
         consensus.Stored: lambda item: [item],
         consensus.Proposed: lambda item: (),
-        consensus.MembershipChanged: lambda item: (),
         consensus.LeadershipChanged: lambda item: (),
         consensus.LeaseExtended: lambda item: (),
         effect.SendControl: links.send,
