--- a/poplarstep/programs/agent.py
+++ b/poplarstep/programs/agent.py
@@ -3,11 +3,9 @@
 import msgspec
 from returns import result
 
-from poplarstep.configuration import catalogue as catalogues
 from poplarstep.core import address
 from poplarstep.core import effect
 from poplarstep.core import stage
-from poplarstep.dissemination import subscriber
 from poplarstep.edge import codec
 from poplarstep.edge import datagrams
 from poplarstep.edge import proxy_header
@@ -17,12 +15,10 @@
 from poplarstep.flow import token
 from poplarstep.programs import node as nodes
 from poplarstep.programs import settings as settings_table
-from poplarstep.requests import admission
-from poplarstep.requests import announcing
+from poplarstep.requests import assembly
 from poplarstep.requests import message
-from poplarstep.requests import ownership
+from poplarstep.requests import service_level
 from poplarstep.requests import state as states
-from poplarstep.requests import verification
 
 
 def build(settings):
@@ -39,10 +35,13 @@
     front, links = front.unwrap(), links.unwrap()
     client = target_client.TargetClient(
         lambda batch: node.task.report(batch))
-    pipeline, agent, admitted = make_pipeline(settings)
-    nodes.subscribe(node, subscriber, ownership, admission)
+    pipeline, agent, admitted = assembly.make_pipeline(
+        settings, nodes.new_incarnation())
+    pipeline, counted = with_service_level(pipeline, settings['late-after'])
+    nodes.subscribe(node, *assembly.TICKING)
     node.exporter.add_counters('agent', agent.counters)
     node.exporter.add_values(lambda: _load_rows(admitted))
+    node.exporter.add_values(lambda: _service_level_rows(agent, counted))
     node.status = lambda: _status(agent, admitted)
     node.ready = lambda: states.own_target(agent) is not None
     node.leave = lambda: _leave(node, agent)
@@ -52,34 +51,13 @@
         links, {'front': front})
 
 
-def make_pipeline(settings):
-    r"""Return the pipeline of an agent and the states to watch.
-
-    Returns
-    =======
-
-    tuple
-        ``(Pipeline, AgentState, AdmissionState)``.
-    """
-    catalogue = catalogues.Catalogue()
-    incarnation = nodes.new_incarnation()
-    subscribed = subscriber.make_subscriber(
-        settings['node'], 'agent', incarnation, catalogue,
-        settings['upstreams'])
-    agent = states.make_agent_state(
-        settings['node'], settings['data-centre'],
-        settings['agent-address'], incarnation, catalogue,
-        settings['flow-idle'], settings['answer-bytes'])
-    admitted = admission.make_admission_state(
-        agent, settings['queue-length'])
-    pipeline = stage.Pipeline([
-        (announcing.ANNOUNCE, agent),
-        (subscriber.SUBSCRIBER, subscribed),
-        (verification.VERIFY, agent),
-        (ownership.REQUESTS, agent),
-        (admission.ADMISSION, admitted),
-    ])
-    return pipeline, agent, admitted
+def with_service_level(pipeline, late_after_ms):
+    r"""Return the pipeline that also counts requests, and the counts."""
+    counted = service_level.ServiceLevel(late_after_ms)
+    steps = pipeline.steps
+    return stage.Pipeline(
+        steps[:-1] + ((service_level.SERVICE_LEVEL, counted),)
+        + steps[-1:]), counted
 
 
 def make_decoder(packets):
@@ -179,6 +157,17 @@
     }
 
 
+def _service_level_rows(agent, counted):
+    if agent.target is None:
+        return []
+    labels = {'service': agent.target.service}
+    return [
+        ('requests_total', labels, counted.total),
+        ('requests_good', labels, counted.good),
+        ('requests_late', labels, counted.late),
+    ]
+
+
 def _load_rows(admitted):
     return [
         ('agent_flows', {}, len(admitted.agent.flow_by_serial)),
--- a/poplarstep/programs/tests/test_bad_input.py
+++ b/poplarstep/programs/tests/test_bad_input.py
@@ -1,4 +1,5 @@
 import inspect
+import random
 import types
 import typing
 
@@ -19,7 +20,9 @@
 from poplarstep.flow import token
 from poplarstep.programs import agent
 from poplarstep.programs import balancer
+from poplarstep.requests import assembly as requests
 from poplarstep.requests import message
+from poplarstep.routing import assembly as routing
 
 SEALER = token.Sealer([b'key of these tests'])
 PACKETS = codec.make_data_path_codec(SEALER)
@@ -114,15 +117,15 @@
 
 
 def balancer_task():
-    pipeline, _, state = balancer.make_pipeline(SETTINGS)
+    pipeline, _, state = routing.make_pipeline(
+        SETTINGS, 3, random.Random(1), 0)
     fill(state.catalogue, 3)
     return tasks.Task('b', pipeline, timer.TimerQueue(), (
         balancer.make_performers(PACKETS, Wire(), Wire(), NOWHERE)))
 
 
 def agent_task():
-    pipeline, state, _ = agent.make_pipeline(SETTINGS)
-    state.incarnation = 3
+    pipeline, state, _ = requests.make_pipeline(SETTINGS, 3)
     fill(state.catalogue, 3)
     performers = agent.make_performers(PACKETS, Wire(), NOWHERE, NOWHERE)
     performers.update({
