Complete the operators' tool

Cause: show flows, show refusals and show burn had no answer, an unknown outcome could not be resent from another run, and exit codes were not documented.

--- a/poplarstep/programs/tool.py
+++ b/poplarstep/programs/tool.py
@@ -1,7 +1,7 @@
 r"""``poplarstep``: the operators' query and command tool."""
 
 import json
-import os
+import readline
 import time
 import uuid
 
@@ -11,51 +11,59 @@
 import tabulate
 
 from poplarstep.core import address
+from poplarstep.language import completion
 from poplarstep.language import parser
 from poplarstep.language import statement as statements
+from poplarstep.programs import answer as answers
+from poplarstep.programs import survey
 
-EXIT_REFUSED = 1
-EXIT_USAGE = 2
-EXIT_UNKNOWN = 3
-EXIT_UNREACHABLE = 4
 ATTEMPT_TIMEOUT_S = 6
 PAUSE_S = 0.1
-
-
-class Answer:
-    r"""Exit code, and what is printed as a table or as JSON."""
-
-    __slots__ = ('code', 'columns', 'rows', 'value')
-
-    def __init__(self, code, columns, rows, value):
-        self.code = code
-        self.columns = columns
-        self.rows = rows
-        self.value = value
+EXIT_CODES = """
+\b
+Exit codes:
+  0  the commands were applied, the queries answered
+  1  a command was refused; it changed nothing
+  2  usage: a wrong flag or statement
+  3  unknown outcome; resend it with the printed --client and --sequence
+  4  no control host, or none of the nodes, could be reached
+"""
 
 
 class Session:
     r"""Identity of one run of the tool and the control hosts it asks."""
 
-    __slots__ = ('controls', 'client', 'sequence', 'timeout_s')
+    __slots__ = (
+        'controls', 'client', 'sequence', 'timeout_s', 'nodes', 'history',
+        'objectives')
 
-    def __init__(self, controls, client, timeout_s):
+    def __init__(self, controls, client, sequence, timeout_s):
         self.controls = controls
         self.client = client
-        self.sequence = 0
+        self.sequence = sequence
         self.timeout_s = timeout_s
+        self.nodes = ()
+        self.history = None
+        self.objectives = None
 
 
-def make_session(controls, timeout_s, client=None):
-    r"""Return a session; a given client name allows a resend later."""
+def make_session(controls, timeout_s, client=None, sequence=1):
+    r"""Return a session; its first command has the given sequence.
+
+    The client and sequence of a command with unknown outcome make a resend
+    of it: it is applied once at most.
+    """
     return Session(
-        tuple(controls), client or uuid.uuid4().hex, timeout_s)
+        tuple(controls), client or uuid.uuid4().hex, sequence, timeout_s)
 
 
 def run_statement(session, statement):
     r"""Run one statement and return its ``Answer``."""
     if statements.is_command(statement):
         return _run_command(session, statement)
+    local = survey.SURVEYS.entry_by_name.get(type(statement))
+    if local is not None:
+        return local(session, statement)
     if isinstance(statement, statements.WaitVersion):
         return _wait_version(session, statement)
     return _run_query(session, statement)
@@ -67,10 +75,11 @@
     Every attempt carries the same identity, so the command is applied at
     most once however many attempts reach a leader.
     """
+    sequence = session.sequence
     session.sequence += 1
     body = {
         'client': session.client,
-        'sequence': session.sequence,
+        'sequence': sequence,
         'text': statements.format_statement(statement),
     }
     sent = False
@@ -79,16 +88,18 @@
             continue
         sent = True
         if reply.get('error'):
-            return Answer(EXIT_USAGE, ('error',), [(reply['error'],)], reply)
+            return answers.failure(answers.EXIT_USAGE, reply['error'])
         if reply['status'] == 'applied':
             return _outcome(0, reply)
         if reply['status'] == 'refused' and reply['reason'] != 'not-leader':
-            return _outcome(EXIT_REFUSED, reply)
+            return _outcome(answers.EXIT_REFUSED, reply)
     if not sent:
         return _unreachable()
-    return _outcome(EXIT_UNKNOWN, {
+    return _outcome(answers.EXIT_UNKNOWN, {
         'status': 'unknown', 'version': None, 'client': session.client,
-        'reason': 'no control host decided the command in time'})
+        'sequence': sequence,
+        'reason': 'no control host decided the command in time; resend it '
+        'with --client %s --sequence %d' % (session.client, sequence)})
 
 
 def _run_query(session, statement):
@@ -98,14 +109,14 @@
         if reply is None:
             continue
         if reply.get('error'):
-            return Answer(EXIT_USAGE, ('error',), [(reply['error'],)], reply)
+            return answers.failure(answers.EXIT_USAGE, reply['error'])
         best = reply
         if reply['current']:
             break
     if best is None:
         return _unreachable()
-    code = 0 if best['current'] else EXIT_UNKNOWN
-    return Answer(code, best['columns'], best['rows'], best)
+    code = 0 if best['current'] else answers.EXIT_UNKNOWN
+    return answers.Answer(code, best['columns'], best['rows'], best)
 
 
 def _wait_version(session, statement):
@@ -116,11 +127,11 @@
         behind = [
             row for row in answer.rows if row[2] < statement.version]
         if answer.code == 0 and not behind:
-            return Answer(0, ('version', 'nodes'), [
+            return answers.Answer(0, ('version', 'nodes'), [
                 (statement.version, len(answer.rows))], answer.value)
         if time.monotonic() > deadline:
-            return Answer(
-                EXIT_UNKNOWN, answer.columns, behind, answer.value)
+            return answers.Answer(
+                answers.EXIT_UNKNOWN, answer.columns, behind, answer.value)
         time.sleep(PAUSE_S)
 
 
@@ -146,14 +157,14 @@
 
 
 def _outcome(code, reply):
-    return Answer(
+    return answers.Answer(
         code, ('status', 'version', 'reason'),
         [(reply['status'], reply['version'], reply['reason'])], reply)
 
 
 def _unreachable():
-    text = 'no control host answered'
-    return Answer(EXIT_UNREACHABLE, ('error',), [(text,)], {'error': text})
+    return answers.failure(
+        answers.EXIT_UNREACHABLE, 'no control host answered')
 
 
 def show(answer, output):
@@ -165,33 +176,57 @@
 
 
 def _controls(context, parameter, text):
-    parsed = [address.parse(item) for item in text.split(',')]
+    parsed = [address.parse(item) for item in text.split(',') if item]
     for item in parsed:
         if isinstance(item, result.Failure):
             raise click.BadParameter(item.failure())
     return [item.unwrap() for item in parsed]
 
 
-@click.command()
+def _complete(context, parameter, incomplete):
+    r"""Return what may follow the words of a command line."""
+    words = list(context.params.get('words') or ()) + [incomplete]
+    return completion.complete(' '.join(words))
+
+
+@click.command(epilog=EXIT_CODES)
 @click.option(
     '--control', envvar='POPLARSTEP_CONTROL', required=True,
     callback=_controls, help='HTTP addresses of the control hosts')
+@click.option(
+    '--nodes', envvar='POPLARSTEP_NODES', default='', callback=_controls,
+    help='HTTP addresses of balancers and agents, for show flows and show '
+    'refusals')
+@click.option('--history', envvar='POPLARSTEP_HISTORY',
+              help='file that poplarstep-burn collect writes, for show burn')
+@click.option('--objectives', envvar='POPLARSTEP_OBJECTIVES',
+              help='file with one objective a line, for show burn')
 @click.option('--output', type=click.Choice(['table', 'json']),
               default='table')
 @click.option('--timeout', default=10.0, help='seconds for one statement')
 @click.option('--client', help='identity of an earlier run, for a resend')
+@click.option('--sequence', type=click.IntRange(0, 2**63 - 1), default=1,
+              help='sequence of the first command')
 @click.option('--file', 'script', type=click.File('r'),
               help='run the statements of a file')
-@click.argument('words', nargs=-1)
-def main(control, output, timeout, client, script, words):
+@click.argument('words', nargs=-1, shell_complete=_complete)
+def main(control, nodes, history, objectives, output, timeout, client,
+         sequence, script, words):
     r"""Run statements of the operators' language.
 
+    Without statements it reads them from the terminal, with completion by
+    the tab key. For completion in the shell: eval
+    "$(_POPLARSTEP_COMPLETE=bash_source poplarstep)".
+
     \b
     poplarstep show targets
     poplarstep take data-centre maadi out
     poplarstep --file changes.txt
     """
-    session = make_session(control, timeout, client)
+    session = make_session(control, timeout, client, sequence)
+    session.nodes = nodes
+    session.history = history
+    session.objectives = objectives
     if script is not None:
         raise SystemExit(_run_text(session, script.read(), output))
     if words:
@@ -203,7 +238,7 @@
     parsed = parser.parse_script(text)
     if isinstance(parsed, result.Failure):
         click.echo(parsed.failure(), err=True)
-        return EXIT_USAGE
+        return answers.EXIT_USAGE
     for statement in parsed.unwrap():
         answer = run_statement(session, statement)
         show(answer, output)
@@ -214,14 +249,26 @@
 
 def _interactive(session, output):
     r"""Read statements from the terminal until its end."""
+    readline.set_completer_delims(' \t\n;')
+    readline.set_completer(complete_line)
+    readline.parse_and_bind('tab: complete')
     while True:
         try:
             text = input('poplarstep> ')
         except EOFError:
             return
+        except KeyboardInterrupt:
+            click.echo()
+            continue
         _run_text(session, text, output)
 
 
+def complete_line(text, index):
+    r"""Return completion number ``index`` of the line being typed."""
+    found = completion.complete(
+        readline.get_line_buffer()[:readline.get_endidx()])
+    return found[index] + ' ' if index < len(found) else None
+
+
 if __name__ == '__main__':
-    os.environ.setdefault('PYTHONUNBUFFERED', '1')
     main()
