Generate the page of settings and add files for both deployments

Change: poplarstepd settings-page prints docs/settings.md; deployments/ holds an environment file for each role. Tests compare the page with the table and check each file.

--- a/poplarstep/programs/daemon.py
+++ b/poplarstep/programs/daemon.py
@@ -19,6 +19,7 @@
 from poplarstep.programs import control
 from poplarstep.programs import node as nodes
 from poplarstep.programs import settings
+from poplarstep.programs import settings_page
 
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_START = 3
@@ -57,6 +58,12 @@
     click.echo(poplarstep.__version__)
 
 
+@main.command('settings-page')
+def print_settings_page():
+    r"""Print docs/settings.md."""
+    click.echo(settings_page.render(), nl=False)
+
+
 @main.command('check-settings')
 @_with_settings
 def check_settings(**flags):
--- /dev/null
+++ b/poplarstep/programs/tests/test_settings_page.py
@@ -0,0 +1,34 @@
+import pathlib
+
+import pytest
+from returns import result
+
+from poplarstep.programs import settings
+from poplarstep.programs import settings_page
+
+ROOT = pathlib.Path(__file__).parents[3]
+FILES = sorted((ROOT / 'deployments').glob('*/*.env'))
+
+
+def test_page_is_up_to_date():
+    # Operators read the page, processes the table.
+    page = (ROOT / 'docs' / 'settings.md').read_text()
+    assert page == settings_page.render()
+
+
+def test_each_role_of_both_deployments_has_a_file():
+    assert [str(item.relative_to(ROOT / 'deployments')) for item in FILES] \
+        == ['%s/%s.env' % (name, role) for name in ('gulfline', 'nile-hood')
+            for role in sorted(settings.ROLES)]
+
+
+@pytest.mark.parametrize('path', FILES, ids=lambda item: item.stem)
+def test_files_of_the_deployments_pass_the_check(path):
+    # A file with a setting that was renamed would stop a restart.
+    lines = [line for line in path.read_text().splitlines()
+             if line and not line.startswith('#')]
+    environment = dict(line.split('=', 1) for line in lines)
+    assert len(environment) == len(lines)
+    read = settings.read_settings({}, environment)
+    assert isinstance(read, result.Success), read
+    assert read.unwrap()['role'] == path.stem
