--- a/poplarstep/programs/agent.py
+++ b/poplarstep/programs/agent.py
@@ -6,6 +6,7 @@
 from poplarstep.core import address
 from poplarstep.core import effect
 from poplarstep.core import stage
+from poplarstep.edge import clock
 from poplarstep.edge import codec
 from poplarstep.edge import datagrams
 from poplarstep.edge import proxy_header
@@ -69,7 +70,8 @@
         if type(item) is not packet.Forwarded:
             return result.Failure(
                 '%s is not expected on this socket' % type(item).__name__)
-        return message.Arrival(address.Address(*source), item)
+        return message.Arrival(
+            address.Address(*source), item, clock.now_ms())
     return decode
 
 
--- a/poplarstep/programs/balancer.py
+++ b/poplarstep/programs/balancer.py
@@ -68,7 +68,7 @@
             return result.Failure('payload of %d bytes exceeds %d' % (
                 len(item.payload), packet.MAXIMUM_PAYLOAD_BYTES))
         return packet.Ingress(packet.ReturnPath(
-            fabric(source), caller, service), item)
+            fabric(source), caller, service), item, clock.now_ms())
 
     fabric = functools.lru_cache(CACHED_SOURCES)(
         lambda source: address.Address(*source))
--- a/poplarstep/requests/state.py
+++ b/poplarstep/requests/state.py
@@ -1,5 +1,6 @@
 r"""State that one agent owns: its flows and their request records."""
 
+import collections
 import enum
 
 from poplarstep.core import record
@@ -19,7 +20,8 @@
     r"""What the agent knows of one request.
 
     ``path`` is that of the latest copy of the request, so that an answer
-    reaches the caller where it now is.
+    reaches the caller where it now is. A ``cancelled`` request is running,
+    but is not sent to the target again.
     """
 
     __slots__ = (
@@ -90,13 +92,24 @@
         A flow without a packet for this long is dropped.
     answer_bytes_limit : int
         Bytes of recorded answers that are kept for resends.
+    works_from : int or None
+        Time before which the target is given no work; None until it has
+        announced itself.
+    flow_by_serial : OrderedDict
+        In the order of their last packets.
+    cut_by_serial : dict
+        Highest request number of flows that the agent has cut.
+    drain_until : int or None
+        Time at which the flows of a draining target end.
     """
 
     __slots__ = (
         'node', 'data_centre', 'agent_address', 'incarnation', 'catalogue',
-        'flow_idle_ms', 'answer_bytes_limit', 'target', 'revision',
+        'flow_idle_ms', 'answer_bytes_limit', 'target', 'works_from',
+        'revision',
         'leaving', 'next_serial', 'flow_by_serial', 'serial_by_opener',
-        'answer_bytes', 'counters')
+        'cut_by_serial', 'drain_until', 'answer_bytes',
+        'answer_size_by_key', 'counters')
 
     def __init__(
             self, node, data_centre, agent_address, incarnation, catalogue,
@@ -109,12 +122,16 @@
         self.flow_idle_ms = flow_idle_ms
         self.answer_bytes_limit = answer_bytes_limit
         self.target = None
+        self.works_from = None
         self.revision = 0
         self.leaving = False
         self.next_serial = 1
-        self.flow_by_serial = {}
+        self.flow_by_serial = collections.OrderedDict()
         self.serial_by_opener = {}
+        self.cut_by_serial = {}
+        self.drain_until = None
         self.answer_bytes = 0
+        self.answer_size_by_key = {}
         self.counters = AgentCounters()
 
 
@@ -127,6 +144,16 @@
         flow_idle_ms, answer_bytes_limit)
 
 
+def works(state, now):
+    r"""Return whether the target may be given work by this agent run."""
+    return state.target is not None and now >= state.works_from
+
+
+def drain_over(state, now):
+    r"""Return whether the drain deadline of the target has passed."""
+    return state.drain_until is not None and now >= state.drain_until
+
+
 def own_target(state):
     r"""Return the catalogue's target of this agent run, or None.
 
