--- a/poplarstep/programs/agent.py
+++ b/poplarstep/programs/agent.py
@@ -5,6 +5,7 @@
 
 from poplarstep.core import address
 from poplarstep.core import effect
+from poplarstep.core import stage
 from poplarstep.edge import clock
 from poplarstep.edge import codec
 from poplarstep.edge import datagrams
@@ -17,6 +18,7 @@
 from poplarstep.programs import settings as settings_table
 from poplarstep.requests import assembly
 from poplarstep.requests import message
+from poplarstep.requests import service_level
 from poplarstep.requests import state as states
 
 
@@ -36,9 +38,11 @@
         lambda batch: node.task.report(batch))
     pipeline, agent, admitted = assembly.make_pipeline(
         settings, nodes.new_incarnation())
+    pipeline, counted = with_service_level(pipeline, settings['late-after'])
     nodes.subscribe(node, *assembly.TICKING)
     node.exporter.add_counters('agent', agent.counters)
     node.exporter.add_values(lambda: _load_rows(admitted))
+    node.exporter.add_values(lambda: _service_level_rows(agent, counted))
     node.status = lambda: _status(agent, admitted)
     node.ready = lambda: states.own_target(agent) is not None
     node.leave = lambda: _leave(node, agent)
@@ -48,6 +52,15 @@
         links, {'front': front})
 
 
+def with_service_level(pipeline, late_after_ms):
+    r"""Return the pipeline that also counts requests, and the counts."""
+    counted = service_level.ServiceLevel(late_after_ms)
+    steps = pipeline.steps
+    return stage.Pipeline(
+        steps[:-1] + ((service_level.SERVICE_LEVEL, counted),)
+        + steps[-1:]), counted
+
+
 def make_decoder(packets):
     r"""Return the decoder of datagrams from balancers."""
     def decode(source, data):
@@ -146,6 +159,17 @@
     }
 
 
+def _service_level_rows(agent, counted):
+    if agent.target is None:
+        return []
+    labels = {'service': agent.target.service}
+    return [
+        ('requests_total', labels, counted.total),
+        ('requests_good', labels, counted.good),
+        ('requests_late', labels, counted.late),
+    ]
+
+
 def _load_rows(admitted):
     return [
         ('agent_flows', {}, len(admitted.agent.flow_by_serial)),
--- a/poplarstep/programs/settings.py
+++ b/poplarstep/programs/settings.py
@@ -110,6 +110,8 @@
             'recorded answers that are kept for resends'),
     Setting('queue-length', 'number', '2048', 'requests', (1, 65_536),
             ('agent',), 'requests that may wait at this agent'),
+    Setting('late-after', 'number', '50', 'ms', (1, 3_600_000),
+            ('agent',), 'an answer that takes longer counts as late'),
     Setting('data-folder', 'text', None, '', (), ('control',),
             'folder of the replicated log'),
     Setting('control-hosts', 'seeds', None, '', (), ('control',),
@@ -122,6 +124,9 @@
     Setting('log-level', 'word', 'info', '',
             ('debug', 'info', 'warning', 'error'), ALL, 'lowest level'),
 )
+# Read by the operators' tools, which may share the environment.
+TOOL_VARIABLES = frozenset(PREFIX + name for name in (
+    'CONTROL', 'NODES', 'HISTORY', 'OBJECTIVES'))
 SETTING_BY_NAME = {item.name: item for item in TABLE}
 
 
@@ -169,7 +174,7 @@
 
 
 def _unknown_variables(environment):
-    known = {item.variable for item in TABLE}
+    known = {item.variable for item in TABLE} | TOOL_VARIABLES
     return [
         '%s: is not a setting; known: %s' % (
             name, ', '.join(sorted(known)))
--- a/poplarstep/programs/tests/test_daemon.py
+++ b/poplarstep/programs/tests/test_daemon.py
@@ -77,6 +77,8 @@
 def holder(kind, text):
     ip, port = text.split(':')
     held = socket.socket(socket.AF_INET, kind)
+    # Connections of an earlier run may still be in TIME_WAIT.
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     held.bind((ip, int(port)))
     if kind == socket.SOCK_STREAM:
         held.listen()
