Do not measure the speed from repeated reports

Cause: a frozen report counted as a new measurement with each answer, so the speed followed the one latency that was seen last. Change: only a changed report updates the speed; the first reports are averaged evenly. The spread benchmark also has a report that freezes at 200 s; the case that freezes at 10 s stays.

--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -34,6 +34,8 @@
     spread_model.Scenario('delay 1 s', 3, SPEEDS, 1000, 'none', FLOWS),
     spread_model.Scenario('delay 5 s', 3, SPEEDS, 5000, 'none', FLOWS),
     spread_model.Scenario('frozen', 3, SPEEDS, 5000, 'frozen', FLOWS),
+    spread_model.Scenario(
+        'frozen late', 3, SPEEDS, 5000, 'frozen late', FLOWS),
     spread_model.Scenario('lying', 3, SPEEDS, 5000, 'lying', FLOWS),
     spread_model.Scenario(
         '300 balancers', 300, SPEEDS, 5000, 'none', FLOWS),
--- a/benchmarks/spread_model.py
+++ b/benchmarks/spread_model.py
@@ -11,6 +11,7 @@
 
 import collections
 import heapq
+import math
 import random
 import statistics
 
@@ -24,7 +25,7 @@
 REPORT_PERIOD_MS = 250
 SAMPLE_PERIOD_MS = 1000
 LATENCIES = 31
-FROZEN_FROM_MS = 10_000
+FROZEN_FROM_MS_BY_FAULT = {'frozen': 10_000, 'frozen late': 200_000}
 
 ARRIVE, LEAVE, REQUEST, DONE, ANSWERED, REPORT, SAMPLE = range(7)
 
@@ -40,8 +41,9 @@
     delay_ms : int
         Age of a report when the balancer receives it.
     fault : str
-        ``none``; ``frozen``: target 0 repeats the report that it made after
-        10 s; ``lying``: target 0 reports no flows and four times its speed;
+        ``none``; ``frozen``: the reports of target 0 stop changing at 10 s,
+        when few requests have been measured; ``frozen late``: at 200 s;
+        ``lying``: target 0 reports no flows and four times its speed;
         ``joins``: target 0 joins at the end of the warm-up.
     flows : int
         Mean number of open flows.
@@ -201,10 +203,11 @@
 
     def _report(self, now, _):
         self._schedule(now + REPORT_PERIOD_MS, REPORT, None)
+        frozen_from_ms = FROZEN_FROM_MS_BY_FAULT.get(
+            self.scenario.fault, math.inf)
         kept = 1 + self.scenario.delay_ms // REPORT_PERIOD_MS
         for target in self.targets:
-            if (target.number == 0 and self.scenario.fault == 'frozen'
-                    and now >= FROZEN_FROM_MS):
+            if target.number == 0 and now >= frozen_from_ms:
                 continue
             target.reports.append(target.load())
             if len(target.reports) > kept:
--- a/poplarstep/routing/selector_state.py
+++ b/poplarstep/routing/selector_state.py
@@ -29,6 +29,9 @@
         Load in the last answer, received at ``load_at``.
     unchanged : int
         Answers in a row that carried an equal load.
+    speed : float or None
+        Logarithm of requests per ms and slot, smoothed over ``reports``
+        changing reports.
     failures : int
         Backoffs in a row without an accepted open.
     blocked_until : int
@@ -41,8 +44,8 @@
 
     __slots__ = (
         'opens', 'opens_at', 'in_flight', 'connections', 'load', 'load_at',
-        'unchanged', 'speed', 'failures', 'blocked_until', 'probe_at',
-        'older')
+        'unchanged', 'speed', 'reports', 'failures', 'blocked_until',
+        'probe_at', 'older')
 
     def __init__(self, now):
         self.opens = 0.0
@@ -53,6 +56,7 @@
         self.load_at = now
         self.unchanged = 0
         self.speed = None
+        self.reports = 0
         self.failures = 0
         self.blocked_until = now
         self.probe_at = None
--- a/poplarstep/routing/selectors.py
+++ b/poplarstep/routing/selectors.py
@@ -317,14 +317,19 @@
         return min(MAXIMUM_CORRECTION, max(1 / MAXIMUM_CORRECTION, factor))
 
     def _learn(self, state, latency_ms, elapsed_ms):
+        r"""Smooth the speed; a repeated report is no new measurement."""
+        if state.unchanged:
+            return
         speed = -math.log(latency_ms)
         if state.speed is None:
             state.speed = speed
-        weight = 1 - math.exp(-elapsed_ms / SPEED_TIME_CONSTANT_MS)
-        state.speed += max(0.0, weight) * (speed - state.speed)
+        state.reports += 1
+        weight = max(
+            1 - math.exp(-max(0, elapsed_ms) / SPEED_TIME_CONSTANT_MS),
+            1 / state.reports)
+        state.speed += weight * (speed - state.speed)
         self.mean_log_speed = _move(self.mean_log_speed, state.speed)
-        if state.unchanged < FROZEN_AFTER:
-            self.mean_log_use = _move(self.mean_log_use, _log_use(state))
+        self.mean_log_use = _move(self.mean_log_use, _log_use(state))
 
 
 def _log_use(state):
--- a/poplarstep/routing/tests/test_selectors.py
+++ b/poplarstep/routing/tests/test_selectors.py
@@ -222,6 +222,19 @@
     assert max(spread(speeds, report)) <= 1.10
 
 
+def test_repeated_latency_is_no_new_measurement():
+    """Guards against a share that follows one latency seen for long."""
+    speeds = (1,) * 5 + (0.25,) * 2
+    true_load = honest(speeds)
+
+    def report(target, count, number):
+        if target == 0 and number >= 3000:
+            return load(50, 5)
+        return true_load(target, count, number)
+
+    assert max(spread(speeds, report)) <= 1.10
+
+
 def test_lying_report_attracts_a_bounded_share():
     """Guards against a lie that draws all opens to one target.
 
