--- a/poplarstep/control/tests/test_hosts.py
+++ b/poplarstep/control/tests/test_hosts.py
@@ -16,7 +16,8 @@
 @pytest.fixture
 def hosts(tmp_path):
     r"""Three control hosts that form a group."""
-    layout = deployment.make_layout('nile-hood', str(tmp_path), NETWORK)
+    layout = deployment.make_layout(
+        deployment.PLAN_BY_NAME['nile-hood'], str(tmp_path), NETWORK)
     with open(os.devnull, 'wb') as log:
         started = children.make_processes(layout, log)
         try:
