--- a/poplarstep/limits/ramp.py
+++ b/poplarstep/limits/ramp.py
@@ -4,23 +4,33 @@
 ===========
 
 The level is a real number of slots in use. It starts at the cold limit
-and changes only when a request completes. From level 1 up, the limit of
-requests in flight is the level rounded down. A target with fewer than
-``FINE_CEILING`` slots cannot be loaded a little by whole requests, so its
-level starts at a quarter of the ceiling; below level 1 one request is in
-flight at a time, and after a request that took ``t`` ms the next one waits
-``t * (1 / level - 1)`` ms. The level is then the share of time in which
-the target is busy. Waiting passes time but never raises the level.
+and changes only when a request completes. The limit of requests in flight
+is the level rounded down, at least 1.
+
+A target with fewer than ``FINE_CEILING`` slots cannot be loaded a little by
+whole requests. Its level starts at a sixteenth of the ceiling, its limit is
+the level rounded up, and starts are paced: the next request may start
+``t / level`` ms after the last one, where ``t`` is the baseline latency,
+and below level 1 ``t * (1 / level - 1)`` ms after the end of a request that
+took ``t`` ms. The level is then the mean number of busy slots. Waiting
+passes time but never raises the level.
 """
 
 import collections
+import math
 import statistics
 
+# A cold target bears whole requests as a small share of its load only if it
+# has at least this many slots.
 FINE_CEILING = 4
-COLD_SHARE = 0.25
+# A quarter and an eighth let a model target that bears 30% of one slot fail
+# 2.8 and 0.8 times in a cold start; a sixteenth 0.2 times.
+COLD_SHARE = 0.0625
 GROWTH_DIVISOR = 32
 MAXIMUM_STEP = 0.25
-CAUTIOUS_GROWTH = 0.125
+# 4000 did not avoid more failures at 1 or 2 slots and took twice as long.
+DOUBLING_MS = 2000
+MAXIMUM_CAUTION = 32
 UNUSED_GROWTH = 0.25
 NEAR_FACTOR = 1.5
 RISEN_FACTOR = 2.0
@@ -86,11 +96,15 @@
 
     A completed request with a latency near the baseline raises the level by
     1/32 of it, at most by a quarter of a slot; a quarter of that when the
-    level was not in use. A failed request, or a window whose median latency
-    is twice the baseline, halves the level, once for the requests that were
-    in flight together. Above half of the level at which the target failed
-    while it was cold, the level grows at an eighth of the rate until it has
-    reached the ceiling once.
+    level was not in use. Completions that follow one another quickly do not
+    raise it faster than to its double in two seconds. A failed request, or
+    a window whose median latency is twice the baseline, halves the level,
+    once for the requests that were in flight together.
+
+    Each failure of a cold target that had made progress doubles the
+    caution: both growth limits are divided by it. Each time the level
+    reaches the ceiling, the caution is halved. A target that needs longer
+    to warm up than the ramp assumes thus fails a few times, not forever.
 
     Examples
     ========
@@ -99,8 +113,8 @@
     >>> ramp.limit()
     1
     >>> for number in range(40):
-    ...     ramp.started(now=number * 10)
-    ...     ramp.finished(now=number * 10 + 10, latency_ms=10,
+    ...     ramp.started(now=number * 90)
+    ...     ramp.finished(now=number * 90 + 90, latency_ms=90,
     ...                   succeeded=True)
     >>> ramp.limit()
     2
@@ -108,15 +122,16 @@
     """
 
     __slots__ = (
-        'cold_limit', 'ceiling', 'level', 'threshold', 'in_flight',
+        'cold_limit', 'ceiling', 'level', 'caution', 'progress', 'in_flight',
         'stale', 'baseline', 'recent', 'failures', 'fell_at',
-        'next_start_at', 'last_finish_at', 'cold')
+        'next_start_at', 'last_finish_at', 'grown_at', 'cold')
 
     def __init__(self, cold_limit, ceiling):
         self.cold_limit = cold_limit
         self.ceiling = ceiling
         self.level = self.cold_level()
-        self.threshold = float(ceiling)
+        self.caution = 1
+        self.progress = False
         self.in_flight = 0
         self.stale = 0
         self.baseline = LatencyBaseline()
@@ -125,6 +140,7 @@
         self.fell_at = None
         self.next_start_at = 0
         self.last_finish_at = None
+        self.grown_at = None
         self.cold = True
 
     def cold_level(self):
@@ -135,6 +151,8 @@
 
     def limit(self):
         r"""Return the number of requests that may be in flight."""
+        if self.ceiling < FINE_CEILING:
+            return math.ceil(self.level)
         return max(1, int(self.level))
 
     def may_start(self, now):
@@ -152,6 +170,10 @@
     def started(self, now):
         r"""Count a request that was dispatched to the target."""
         self.in_flight += 1
+        latency_ms = self.baseline.value()
+        if self.ceiling < FINE_CEILING and self.level < self.ceiling and (
+                latency_ms is not None):
+            self._wait(now, latency_ms / self.level)
 
     def abandoned(self, now):
         r"""Free the slot of a request that ended without evidence."""
@@ -181,7 +203,24 @@
         else:
             self.failures += 1
             self._fall(now, latency_ms)
-        self._pace(now, latency_ms)
+        if self.level < 1:
+            self._wait(now, latency_ms * (1 / self.level - 1))
+        if self.failures:
+            self._back_off(now)
+
+    def unreachable(self, now):
+        r"""Free the slot of a request whose connection was refused.
+
+        Explanation
+        ===========
+
+        The target is not running, so it will start cold. Starts are spaced
+        by a gap that doubles with each refused connection, up to a second.
+        """
+        self._release()
+        self.failures += 1
+        self.reset_cold()
+        self._back_off(now)
 
     def reset_cold(self):
         r"""Return to the cold limit: the target has started again.
@@ -190,20 +229,22 @@
         ===========
 
         Requests in flight are still counted until the owner reports their
-        end, and these ends are no evidence about the new start. If the
-        target was still warming up, half of the level that it had becomes
-        the threshold for cautious growth.
+        end, and these ends are no evidence about the new start.
         """
-        if self.cold:
-            self.threshold = max(
-                self.cold_level(), min(self.threshold, self.level / 2))
+        self._count_cold_failure()
         self.level = self.cold_level()
         self.stale = self.in_flight
         self.baseline = LatencyBaseline()
         self.recent = []
         self.fell_at = None
+        self.grown_at = None
         self.cold = True
 
+    def _count_cold_failure(self):
+        if self.cold and self.progress:
+            self.caution = min(MAXIMUM_CAUTION, self.caution * 2)
+        self.progress = False
+
     def _release(self):
         r"""Free a slot; return whether the request predates a reset."""
         self.in_flight = max(0, self.in_flight - 1)
@@ -232,7 +273,7 @@
                 self._latency_has_risen(now)
                 return
         if latency_ms <= NEAR_FACTOR * baseline + LATENCY_SLACK_MS:
-            self._grow(used)
+            self._grow(now, used)
 
     def _latency_has_risen(self, now):
         r"""Halve the level; at the cold level, accept the new latency.
@@ -246,33 +287,37 @@
         self.level = max(self.cold_level(), self.level * FALL_FACTOR)
         self.fell_at = now
 
-    def _grow(self, used):
+    def _grow(self, now, used):
+        self.progress = True
         step = min(self.level / GROWTH_DIVISOR, MAXIMUM_STEP)
+        if self.grown_at is not None:
+            elapsed_ms = max(0, now - self.grown_at)
+            step = min(step, self.level * elapsed_ms / DOUBLING_MS)
+        self.grown_at = now
         if not used:
             step *= UNUSED_GROWTH
-        if self.level >= self.threshold:
-            step *= CAUTIOUS_GROWTH
-        self.level = min(float(self.ceiling), self.level + step)
-        if self.level >= self.ceiling:
-            self.cold = False
-            self.threshold = float(self.ceiling)
+        reached = self.level >= self.ceiling
+        self.level = min(
+            float(self.ceiling), self.level + step / self.caution)
+        if self.level < self.ceiling:
+            return
+        self.cold = False
+        if not reached:
+            self.caution = max(1, self.caution // 2)
 
     def _fall(self, now, latency_ms):
         if self.fell_at is not None and now - latency_ms < self.fell_at:
             return
-        if self.cold:
-            self.threshold = max(self.cold_level(), self.level / 2)
+        self._count_cold_failure()
         self.level = max(self.cold_level(), self.level * FALL_FACTOR)
         self.fell_at = now
 
-    def _pace(self, now, latency_ms):
-        gap_ms = 0.0
-        if self.level < 1:
-            gap_ms = latency_ms * (1 / self.level - 1)
-        if self.failures:
-            gap_ms = max(
-                gap_ms, MINIMUM_GAP_MS * 2 ** min(self.failures, 10))
-        self.next_start_at = now + int(min(gap_ms, MAXIMUM_GAP_MS))
+    def _back_off(self, now):
+        self._wait(now, MINIMUM_GAP_MS * 2 ** min(self.failures, 10))
+
+    def _wait(self, now, gap_ms):
+        self.next_start_at = max(
+            self.next_start_at, now + int(min(gap_ms, MAXIMUM_GAP_MS)))
 
 
 def make_ramp(cold_limit, ceiling):
--- a/poplarstep/requests/__init__.py
+++ b/poplarstep/requests/__init__.py
@@ -1,3 +1,13 @@
 """Agent decisions: ownership of flows and requests, admission."""
 
-__all__ = ['admission', 'message', 'ownership', 'state', 'verification']
+__all__ = [
+    'admission',
+    'announcing',
+    'answers',
+    'assembly',
+    'expiry',
+    'message',
+    'ownership',
+    'state',
+    'verification',
+]
--- a/poplarstep/requests/admission.py
+++ b/poplarstep/requests/admission.py
@@ -21,6 +21,7 @@
 from poplarstep.flow import packet
 from poplarstep.limits import queue
 from poplarstep.limits import ramp
+from poplarstep.requests import answers
 from poplarstep.requests import message
 from poplarstep.requests import ownership
 from poplarstep.requests import state as states
@@ -30,6 +31,9 @@
 LATENCY_SAMPLES = 32
 # Requests that wait at one agent; each holds at most one datagram.
 QUEUE_CAPACITY = 2048
+# A target may announce more than it bears when cold, so its claim raises
+# nothing: above this limit the ramp goes by completed requests only.
+COLD_LIMIT = 1
 
 ADMISSION = stage.Stage('admission')
 
@@ -49,18 +53,22 @@
     in_flight, earlier : set of RequestKey
         Requests that the target is running; those of them that were sent
         to an earlier run of the target.
+    lost : bool
+        A connection to the target broke and it has not announced itself
+        since; it may be another run, even of another service.
     """
 
     __slots__ = (
-        'agent', 'ramp', 'queue', 'in_flight', 'earlier',
+        'agent', 'ramp', 'queue', 'in_flight', 'earlier', 'lost',
         'target_incarnation', 'recent_ms', 'latency_ms')
 
     def __init__(self, agent, queue):
         self.agent = agent
-        self.ramp = ramp.make_ramp(cold_limit=1, ceiling=1)
+        self.ramp = ramp.make_ramp(COLD_LIMIT, ceiling=1)
         self.queue = queue
         self.in_flight = set()
         self.earlier = set()
+        self.lost = False
         self.target_incarnation = None
         self.recent_ms = collections.deque(maxlen=LATENCY_SAMPLES)
         self.latency_ms = 0.0
@@ -81,11 +89,12 @@
 @ADMISSION.handles(message.TargetState)
 def target_state(state, event, now):
     r"""Take in an announcement; a new incarnation starts cold."""
+    state.lost = False
     if event.incarnation != state.target_incarnation:
         state.target_incarnation = event.incarnation
         # Requests in flight belong to the run that ended; their calls
         # still report, but not to the new ramp.
-        state.ramp = ramp.make_ramp(event.cold_limit, event.slots)
+        state.ramp = ramp.make_ramp(COLD_LIMIT, event.slots)
         state.earlier |= state.in_flight
     return [event]
 
@@ -107,6 +116,9 @@
         return _refuse(
             state, event.key, verdict.Verdict.NOT_RUN, 'cancelled')
     if event.key in state.in_flight:
+        known = states.request_record(state.agent, event.key)
+        if known is not None:
+            known.cancelled = True
         return [message.CancelCall(
             event.key, states.idempotency_key(state.agent, event.key))]
     return []
@@ -124,9 +136,10 @@
     known = states.request_record(state.agent, event.key)
     messages = []
     if known is not None:
-        _record_answer(state.agent, known, event.payload)
+        answers.record(state.agent, event.key, known, event.payload)
         messages = ownership.answer_packets(
             state.agent, event.key.number, known)
+        answers.drop_oldest(state.agent)
     return messages + _dispatch(state, now)
 
 
@@ -136,13 +149,16 @@
     if event.key not in state.in_flight:
         return []
     state.agent.counters.failed += 1
-    _finished(state, event, False, now)
+    current = _finished(state, event, False, now)
+    if current and message.connection_broke(event):
+        state.lost = True
+    if current and (state.lost or not event.ran):
+        state.ramp.reset_cold()
     messages = []
     if event.ran:
         messages = _refuse(
             state, event.key, verdict.Verdict.MAY_HAVE_RUN, event.reason)
     else:
-        state.ramp.reset_cold()
         messages = _requeue(state, event, now)
     return messages + _dispatch(state, now)
 
@@ -167,6 +183,9 @@
     known = states.request_record(state.agent, event.key)
     if known is None:
         return []
+    if known.cancelled:
+        return _refuse(
+            state, event.key, verdict.Verdict.NOT_RUN, 'cancelled')
     offered = state.queue.offer(event.key, known.deadline, now)
     if isinstance(offered, result.Failure):
         return _refuse(
@@ -176,18 +195,24 @@
 
 
 def _finished(state, event, succeeded, now):
-    r"""Free the slot; tell the ramp unless the target restarted since."""
+    r"""Free the slot; tell the ramp unless the target restarted since.
+
+    Returns whether the request was sent to the present run of the target.
+    """
     state.in_flight.remove(event.key)
     if event.key in state.earlier:
         state.earlier.remove(event.key)
-        return
+        return False
     state.ramp.finished(now, event.elapsed_ms, succeeded)
+    return True
 
 
 def _dispatch(state, now):
     r"""Send waiting requests to the target while the ramp allows it."""
     messages = []
-    while state.agent.target is not None and state.ramp.may_start(now):
+    while (
+            not state.lost and states.works(state.agent, now)
+            and state.ramp.may_start(now)):
         taken = state.queue.take(now)
         messages.extend(_expire(state, taken.expired))
         if taken.key is None:
@@ -228,18 +253,3 @@
     known.reason = reason
     known.payload = b''
     return ownership.answer_packets(state.agent, key.number, known)
-
-
-def _record_answer(agent, known, payload):
-    known.phase = states.Phase.ANSWERED
-    known.verdict = verdict.Verdict.RAN
-    known.payload = b''
-    agent.counters.answered += 1
-    size = packet.MAXIMUM_PAYLOAD_BYTES
-    if len(payload) > size * packet.MAXIMUM_PARTS:
-        known.reason = 'answer-too-large'
-        return
-    known.parts = tuple(
-        payload[start:start + size]
-        for start in range(0, max(1, len(payload)), size))
-    agent.answer_bytes += len(payload)
--- a/poplarstep/requests/verification.py
+++ b/poplarstep/requests/verification.py
@@ -26,20 +26,23 @@
     r"""Check one packet; refuse it or pass it on verified."""
     forwarded = event.forwarded
     if isinstance(forwarded.packet, packet.Open):
-        reason = _open_fault(state, forwarded)
+        reason = _open_fault(state, forwarded, now)
         if reason:
             return [refuse_open(state, event.source, forwarded, reason)]
         return [message.VerifiedOpen(event.source, forwarded)]
     reason = _packet_fault(state, forwarded)
     if reason:
         return refuse_packet(state, forwarded, reason)
-    return [message.VerifiedPacket(forwarded.path, forwarded.packet)]
+    body = forwarded.packet
+    if isinstance(body, packet.Request):
+        body = packet.after_wait(body, event.arrived_at, now)
+    return [message.VerifiedPacket(forwarded.path, body)]
 
 
-def _open_fault(state, forwarded):
+def _open_fault(state, forwarded, now):
     r"""Return why an ``Open`` can't be accepted, or an empty string."""
     target = states.own_target(state)
-    if target is None or state.target is None:
+    if target is None:
         return 'target-unknown'
     if forwarded.target != target.number or (
             forwarded.service != target.service):
@@ -50,6 +53,8 @@
     if state.leaving or target.leaving or target.drained or (
             state.target.leaving):
         return 'draining'
+    if not states.works(state, now):
+        return 'target-cold'
     return ''
 
 
