Show why a target or a node is not where it should be

Cause: `show why target` knew three obstacles only, `show nodes` left it to the reader to compare versions, and `show changes` printed Python objects. Announcements for a service that does not exist were proposed every second and grew the log without effect.

Change: `show why target` names an unknown service, a silent or restarted agent and a target that has not announced itself; `show nodes` has a state; `show changes` prints name and content through a registry of descriptions. Intake proposes no announcement for an unknown service.

Conclusion: the answers name the cause; followers say nothing about silence because they hear a part of the agents only.

--- a/poplarstep/control/intake.py
+++ b/poplarstep/control/intake.py
@@ -24,7 +24,9 @@
 # position is refreshed every 2 s and waits for up to 600 ms in the poll of
 # each of three levels; an election or a change of the upstream takes less
 # than 4 s.
-TARGET_EXPIRY_MS = gathering.REFRESH_MS + 3 * publisher.RELAY_HOLD_MS + 4000
+FAILOVER_MS = 4000
+TARGET_EXPIRY_MS = (
+    gathering.REFRESH_MS + 3 * publisher.RELAY_HOLD_MS + FAILOVER_MS)
 REPROPOSE_MS = 1000
 BATCH_OBJECTS = 1000
 DEFAULT_PRIORITY = 0
@@ -95,7 +97,9 @@
     announcements = [
         item for item in gathering.unconfirmed(
             state.gathered, state.machine.catalogue)
-        if _due(state, (item.name, gathering.order(item)), now)]
+        # An entry for a service that does not exist would change nothing.
+        if item.service in state.machine.catalogue.service_by_name
+        and _due(state, (item.name, gathering.order(item)), now)]
     proposals = [
         _own_proposal(state, command.Announce(tuple(batch)))
         for batch in _batches(announcements)]
--- a/poplarstep/control/query.py
+++ b/poplarstep/control/query.py
@@ -1,12 +1,20 @@
 r"""Stage of a control host that answers operators' queries."""
 
+from poplarstep.configuration import model
+from poplarstep.control import intake
 from poplarstep.control import message
+from poplarstep.core import registry
 from poplarstep.core import stage
+from poplarstep.dissemination import gathering
 from poplarstep.language import statement
 
 QUERY = stage.Stage('query')
 # Queries by statement type: (state, statement, now) -> (columns, rows).
 ANSWERS = stage.Stage('answers to queries')
+# Rows of changes by type of object: (state, change body, version).
+DESCRIPTIONS = registry.Registry('object of a change')
+# A position that is older has missed its refresh.
+SILENT_MS = intake.TARGET_EXPIRY_MS - intake.FAILOVER_MS
 
 
 class QueryState:
@@ -115,11 +123,42 @@
     r"""Answer ``show why target``: what keeps new flows from it."""
     target = state.machine.catalogue.target_by_name.get(asked.name)
     if target is None:
-        return ('target', 'obstacle'), [
-            (asked.name, 'has not announced itself')]
-    found = obstacles(state, target, now) or [
-        'none; balancers select it']
-    return ('target', 'obstacle'), [(asked.name, item) for item in found]
+        found = [_absence(state, asked.name)]
+    else:
+        found = obstacles(state, target, now) + _silence(state, target, now)
+    return ('target', 'obstacle'), [
+        (asked.name, item)
+        for item in found or ['none; balancers select it']]
+
+
+def _absence(state, name):
+    r"""Return why a target is not in the configuration."""
+    announced = state.gathered.announcement_by_name.get(name)
+    if announced is None:
+        if name in state.gathered.heard_by_node:
+            return 'has not announced itself; its agent runs'
+        return 'has not announced itself'
+    if announced.service not in state.machine.catalogue.service_by_name:
+        return 'service %s does not exist' % announced.service
+    return 'has announced itself; not in the configuration yet'
+
+
+def _silence(state, target, now):
+    r"""Return what the leader knows of an agent that is silent.
+
+    Followers hear a part of the agents only and say nothing.
+    """
+    if not state.current(now):
+        return []
+    heard = state.gathered.heard_by_node.get(target.name)
+    if heard is None:
+        return ['agent not heard since this host leads']
+    if heard.run != gathering.run_of(target.incarnation):
+        return ['agent has restarted; its target has not announced itself']
+    silent = now - heard.at
+    if silent > SILENT_MS:
+        return ['agent silent for %d ms' % silent]
+    return []
 
 
 @ANSWERS.handles(statement.ShowNodes)
@@ -128,9 +167,17 @@
     version = state.machine.catalogue.version
     rows = [
         (node, heard.role, heard.version, version - heard.version,
-         now - heard.at)
+         now - heard.at, _node_state(version - heard.version,
+                                     now - heard.at))
         for node, heard in sorted(state.gathered.heard_by_node.items())]
-    return ('node', 'role', 'version', 'behind', 'silent_ms'), rows
+    return (
+        'node', 'role', 'version', 'behind', 'silent_ms', 'state'), rows
+
+
+def _node_state(behind, silent):
+    if silent > SILENT_MS:
+        return 'silent'
+    return 'BEHIND' if behind > 0 else 'current'
 
 
 @ANSWERS.handles(statement.ShowControl)
@@ -145,10 +192,11 @@
     r"""Answer ``show changes``: the retained changes after a version."""
     since = asked.since or 0
     rows = [
-        (change.version, type(change.body).__name__, repr(change.body))
+        (change.version,) + DESCRIPTIONS.entry_by_name[type(change.body)](
+            state, change.body, change.version)
         for change in state.machine.catalogue.changes
         if change.version > since]
-    return ('version', 'kind', 'object'), rows
+    return ('version', 'kind', 'name', 'content'), rows
 
 
 def obstacles(state, target, now):
@@ -162,3 +210,38 @@
     if catalogue.data_centre_out(target.data_centre):
         found.append('data centre out')
     return found
+
+
+@DESCRIPTIONS.register(model.Service)
+def _describe_service(state, service, version):
+    text = 'address %s, priority %d, drain deadline %d ms' % (
+        service.address, service.priority, service.drain_deadline_ms)
+    if service.former_addresses:
+        text += ', formerly %s' % ', '.join(
+            str(item) for item in service.former_addresses)
+    return 'service', service.name, text
+
+
+@DESCRIPTIONS.register(model.DataCentre)
+def _describe_data_centre(state, centre, version):
+    return 'data centre', centre.name, 'out' if centre.out else 'in'
+
+
+@DESCRIPTIONS.register(model.Target)
+def _describe_target(state, target, version):
+    service = state.machine.catalogue.service_by_number.get(target.service)
+    flags = [name for name in ('leaving', 'drained')
+             if getattr(target, name)]
+    return 'target', target.name, ', '.join([
+        'service %s' % (service.name if service else target.service),
+        'agent %s' % target.agent, '%d slots' % target.slots] + flags)
+
+
+@DESCRIPTIONS.register(model.Removal)
+def _describe_removal(state, removal, version):
+    names = [
+        item.name for item in state.machine.removed_by_name.values()
+        if item.kind == removal.kind and item.version == version]
+    # Several targets may go at one version; their numbers tell them apart.
+    name = names[0] if len(names) == 1 else 'number %d' % removal.number
+    return removal.kind, name, 'removed'
--- /dev/null
+++ b/poplarstep/control/tests/test_query.py
@@ -0,0 +1,145 @@
+"""What operators are shown, and what is proposed to the log."""
+
+import pytest
+
+from poplarstep.configuration import command
+from poplarstep.configuration import machine as machines
+from poplarstep.configuration import model
+from poplarstep.control import intake
+from poplarstep.control import message
+from poplarstep.control import query
+from poplarstep.core import address
+from poplarstep.core import timer
+from poplarstep.dissemination import gathering
+from poplarstep.dissemination import message as dissemination
+from poplarstep.language import parser
+
+PLACE = address.Address('10.0.0.1', 5000)
+NOW = 100_000
+
+
+def announcement(name, service='certs', incarnation=1):
+    r"""Return what an agent announces."""
+    return model.Announcement(
+        name, service, 'giza', PLACE, incarnation, 1, 2, 9, False)
+
+
+def poll(node, at, version=5, incarnation=1, announcements=()):
+    r"""Return a poll and the time at which it arrives."""
+    return dissemination.Poll(
+        node, 'agent', incarnation, 1, version, False, announcements,
+        ()), at
+
+
+POLLS = (
+    poll('live', NOW), poll('silent', NOW - 7000),
+    poll('restarted', NOW, incarnation=2), poll('late', NOW, version=1),
+    poll('bare', NOW),
+    poll('lost', NOW, announcements=(announcement('lost', 'nothing'),)),
+    poll('new', NOW, announcements=(announcement('new'),)),
+)
+
+
+def make_states(current=True):
+    r"""Return the machine, what was gathered and the query state."""
+    machine = machines.Machine()
+    bodies = (
+        command.CreateService('certs', PLACE, 3, 600),
+        command.Announce(tuple(announcement(name) for name in (
+            'live', 'silent', 'restarted', 'late', 'unheard', 'gone'))),
+        command.SetDataCentre('maadi', True),
+        command.DrainTarget('late', True),
+        command.ExpireTargets((command.Expiry('gone', 1),)))
+    for number, body in enumerate(bodies):
+        machines.apply_command(machine, command.Command(
+            'test', number, machine.catalogue.version, body))
+    gathered = gathering.Gathering()
+    for item, at in POLLS:
+        gathering.take_in(gathered, item, at)
+    return machine, gathered, query.make_query_state(
+        machine, gathered, lambda now: current, lambda: 'control-0',
+        lambda: [])
+
+
+def ask(state, text):
+    r"""Return the rows of a query."""
+    return query.QUERY.process(state, message.OperatorQuery(
+        1, parser.parse(text).unwrap()), NOW)[0].rows
+
+
+WHY = (
+    ('live', 'none; balancers select it'),
+    ('silent', 'agent silent for 7000 ms'),
+    ('restarted', 'agent has restarted'),
+    ('late', 'drained by operators'),
+    ('unheard', 'agent not heard'),
+    ('bare', 'has not announced itself; its agent runs'),
+    ('absent', 'has not announced itself'),
+    ('lost', 'service nothing does not exist'),
+    ('new', 'not in the configuration yet'),
+)
+
+
+@pytest.mark.parametrize('name, shown', WHY)
+def test_show_why(name, shown):
+    r"""Guards against a target that is kept out for an unknown reason."""
+    rows = ask(make_states()[2], 'show why target %s' % name)
+    assert len(rows) == 1 and rows[0][1].startswith(shown) or (
+        shown in rows[0][1])
+
+
+def test_follower_says_nothing_about_silence():
+    r"""Guards against followers that take unheard agents for silent."""
+    rows = ask(make_states(current=False)[2], 'show why target unheard')
+    assert rows == (('unheard', 'none; balancers select it'),)
+
+
+def test_show_nodes_marks_those_behind():
+    r"""Guards against a node that lacks a change and is not seen."""
+    state_by_node = {
+        row[0]: row[5] for row in ask(make_states()[2], 'show nodes')}
+    assert state_by_node['late'] == 'BEHIND'
+    assert state_by_node['silent'] == 'silent'
+    assert state_by_node['live'] == 'current'
+
+
+def test_show_changes_is_readable():
+    r"""Guards against rows that only a programmer can read."""
+    rows = ask(make_states()[2], 'show changes')
+    assert rows[0] == (
+        1, 'service', 'certs',
+        'address 10.0.0.1:5000, priority 3, drain deadline 600 ms')
+    assert (3, 'data centre', 'maadi', 'out') in rows
+    assert (4, 'target', 'late', 'service certs, agent 10.0.0.1:5000, '
+            '2 slots, drained') in rows
+    assert rows[-1] == (5, 'target', 'gone', 'removed')
+
+
+def test_intake_proposes_what_the_log_can_use():
+    r"""Guards against a log that grows by entries without effect.
+
+    A target of a service that does not exist is not proposed, one that was
+    proposed is not proposed again at once, and targets expire only after
+    this host has led for long enough.
+    """
+    machine, gathered, _ = make_states()
+    state = intake.make_intake(
+        machine, gathered, lambda now: True, lambda item: item.body)
+
+    def proposed(now):
+        bodies = []
+        for item in intake.INTAKE.process(
+                state, timer.Tick(intake.TICK), now):
+            bodies.extend(
+                part.payload for part in getattr(item, 'proposals', (item,)))
+        return bodies
+
+    assert proposed(NOW) == [command.Announce((announcement('new'),))]
+    assert proposed(NOW + intake.TICK_PERIOD_MS) == []
+    later = NOW + intake.TARGET_EXPIRY_MS
+    assert not [item for item in proposed(later)
+                if isinstance(item, command.ExpireTargets)]
+    expired = [item for item in proposed(later + 2000)
+               if isinstance(item, command.ExpireTargets)][0]
+    assert {item.name for item in expired.targets} == {
+        'live', 'silent', 'restarted', 'late', 'unheard'}
