Bound the dials, the idle time and the messages of control links

Cause: a silent peer was dialled every 2 s for ever, its outbox kept up to 256 stale messages that came before news after the link had healed, an idle socket lasted 60 s, and a message above 16 MiB made the receiver drop the connection and all else on it.

Change: the period of silence before a new dial doubles up to 4 s and falls back when the peer is heard; reconnects back off from 100 to 800 ms; a push that times out drops the older messages behind it; idle links close after 15 s; a message that is too large is refused by the sender. Each has a counter.

--- a/poplarstep/edge/link.py
+++ b/poplarstep/edge/link.py
@@ -29,12 +29,16 @@
 # Links to inboxes that envelopes name; a host that invents sources must not
 # take up memory without limit.
 MAXIMUM_PEERS = 4096
-# A push socket that nothing was sent on for this long is closed.
-IDLE_MS = 60_000
+# A push socket that nothing was sent on for this long is closed. Polls and
+# heartbeats come at least every second; a dead subscriber gets no answers.
+IDLE_MS = 15_000
 # A dial is renewed when no message has come back from the peer for this
-# long while messages were sent to it.
+# long while messages were sent to it; then after twice that, up to the
+# maximum, which keeps a healed link within the 4 s of a configuration.
 SILENT_MS = 2000
+MAXIMUM_SILENT_MS = 4000
 RECONNECT_MS = 100
+MAXIMUM_RECONNECT_MS = 800
 
 
 class Envelope(record.Record):
@@ -55,7 +59,7 @@
     __slots__ = (
         'received', 'received_bytes', 'sent', 'sent_bytes', 'malformed',
         'dropped_outbox', 'redialled', 'wrong_cluster', 'failed_links',
-        'refused_peers')
+        'refused_peers', 'dialled', 'closed_idle', 'refused_large')
 
     def __init__(self):
         for name in self.__slots__:
@@ -66,16 +70,16 @@
     r"""Push socket to one inbox with its bounded outbox."""
 
     __slots__ = (
-        'address', 'outbox', 'greenlet', 'last_used', 'last_heard',
-        'dialled_at')
+        'address', 'outbox', 'greenlet', 'last_heard', 'dialled_at',
+        'patience_ms')
 
     def __init__(self, peer_address, now):
         self.address = peer_address
         self.outbox = queue.Queue(maxsize=OUTBOX_MESSAGES)
         self.greenlet = None
-        self.last_used = now
         self.last_heard = now
         self.dialled_at = now
+        self.patience_ms = SILENT_MS
 
 
 class Links:
@@ -117,6 +121,10 @@
             peer.greenlet = gevent.spawn(self._write_loop, peer)
         data = self.envelopes.encode(Envelope(
             self.cluster, self.bound, self.codec.encode(item.message)))
+        if len(data) > codec.MAXIMUM_MESSAGE_BYTES:
+            # The receiver would drop the connection, and all else on it.
+            self.counters.refused_large += 1
+            return
         try:
             peer.outbox.put_nowait(data)
         except queue.Full:
@@ -169,6 +177,7 @@
         peer = self.peer_by_address.get(envelope.source)
         if peer is not None:
             peer.last_heard = clock.now_ms()
+            peer.patience_ms = SILENT_MS
         return effect.Received(envelope.source, body.unwrap())
 
     def _write_loop(self, peer):
@@ -179,14 +188,18 @@
                     data = peer.outbox.get(
                         timeout=IDLE_MS / clock.MILLISECONDS_PER_SECOND)
                 except queue.Empty:
+                    self.counters.closed_idle += 1
                     break
-                if socket is not None and self._is_silent(peer):
+                if socket is not None and _is_silent(peer):
                     socket.close()
                     socket = None
+                    peer.patience_ms = min(
+                        MAXIMUM_SILENT_MS, 2 * peer.patience_ms)
                     self.counters.redialled += 1
                 if socket is None:
                     socket = _dial(peer)
-                self._push(socket, data)
+                    self.counters.dialled += 1
+                self._push(peer, socket, data)
         except pynng.NNGException:
             # A later message to the same inbox makes a new link.
             self.counters.failed_links += 1
@@ -196,11 +209,7 @@
             if socket is not None:
                 socket.close()
 
-    def _is_silent(self, peer):
-        newest = max(peer.last_heard, peer.dialled_at)
-        return clock.now_ms() - newest > SILENT_MS
-
-    def _push(self, socket, data):
+    def _push(self, peer, socket, data):
         try:
             # The descriptor turns readable when a message can be sent.
             gevent_socket.wait_read(
@@ -210,7 +219,15 @@
             self.counters.sent += 1
             self.counters.sent_bytes += len(data)
         except (pynng.TryAgain, gevent_socket.timeout, TimeoutError):
-            self.counters.dropped_outbox += 1
+            # What waits behind it is as old; only news is worth sending.
+            self.counters.dropped_outbox += 1 + peer.outbox.qsize()
+            while not peer.outbox.empty():
+                peer.outbox.get_nowait()
+
+
+def _is_silent(peer):
+    newest = max(peer.last_heard, peer.dialled_at)
+    return clock.now_ms() - newest > peer.patience_ms
 
 
 def _dial(peer):
@@ -220,7 +237,7 @@
         dial='tcp://%s' % peer.address,
         block_on_dial=False,
         reconnect_time_min=RECONNECT_MS,
-        reconnect_time_max=RECONNECT_MS,
+        reconnect_time_max=MAXIMUM_RECONNECT_MS,
     )
 
 
