--- a/poplarstep/control/hosts.py
+++ b/poplarstep/control/hosts.py
@@ -53,13 +53,20 @@
         # The replica refuses it and names the leader.
         return [consensus.ChangeMembership(
             event.key, 'remove', event.statement.name)]
+    if state.replica.log.members_index > state.replica.commit_index:
+        # It may be this very change, sent before; a resend will tell.
+        return [_reply(state, event, command.UNKNOWN, 'change-in-progress')]
     status, reason, action, names = planner(state, event.statement, now)
     if status:
-        return [message.CommandReply(event.key, command.Outcome(
-            status, state.machine.catalogue.version, reason), '')]
+        return [_reply(state, event, status, reason)]
     return [consensus.ChangeMembership(event.key, action, names)]
 
 
+def _reply(state, event, status, reason):
+    return message.CommandReply(event.key, command.Outcome(
+        status, state.machine.catalogue.version, reason), '')
+
+
 def _settled(status, reason):
     return status, reason, None, None
 
@@ -139,9 +146,9 @@
         return False
     identity = members[0].identity
     applicant = replica.applicant_by_name.get(name)
-    if applicant is not None and applicant.identity != identity and (
+    if applicant is not None and (
             now - applicant.heard_at <= membership.APPLICANT_MS):
-        return False
+        return applicant.identity == identity
     progress = replica.progress_by_identity.get(identity)
     return identity == replica.identity or (
         progress is not None and progress.answered is not None
