--- a/standins/callers.py
+++ b/standins/callers.py
@@ -26,6 +26,7 @@
 from poplarstep.edge import datagrams
 from poplarstep.edge import task as tasks
 from poplarstep.flow import token
+from standins import recorder
 
 DATA_CENTRE_OUT = 'data-centre-out'
 
@@ -45,12 +46,15 @@
         Payloads of requests that ended with the verdict "not run".
     reasons : collections.Counter
         Reasons of the requests that were not answered.
+    observe : callable
+        Takes what became of a flow or request, its start and, for an
+        answer, its time in ms.
     """
 
     __slots__ = (
         'opened', 'completed', 'given_up', 'broken', 'refused', 'asked',
         'answered', 'mismatched', 'not_run', 'may_have_run', 'latencies_ms',
-        'not_run_payloads', 'reasons')
+        'not_run_payloads', 'reasons', 'observe')
 
     def __init__(self):
         for name in self.__slots__:
@@ -58,6 +62,7 @@
         self.latencies_ms = []
         self.not_run_payloads = set()
         self.reasons = collections.Counter()
+        self.observe = lambda what, at, elapsed_ms=None: None
 
 
 class Client:
@@ -127,9 +132,12 @@
 def run_flow(client, tally, service, count, idempotent, deadline_ms,
              pause_s=0.0):
     r"""Open a flow, send its requests one after another, close it."""
+    began = clock.now_ms()
     opened = client.open_flow(service, deadline_ms)
     if isinstance(opened, message.FlowFailed):
         tally.refused += 1
+        tally.reasons[opened.reason] += 1
+        tally.observe(recorder.REFUSED, began)
         return
     tally.opened += 1
     whole = True
@@ -143,9 +151,14 @@
         if outcome.reason == DATA_CENTRE_OUT:
             # The page of requirements excepts these flows (R1).
             tally.given_up += 1
+            tally.observe(recorder.GIVEN_UP, asked_at)
             client.close_flow(opened.flow_key)
             return
-        whole &= _count(tally, outcome, payload)
+        answered = _count(tally, outcome, payload)
+        whole &= answered
+        tally.observe(
+            recorder.ANSWERED if answered else recorder.FAILED, asked_at,
+            clock.now_ms() - asked_at)
         if pause_s:
             gevent.sleep(pause_s)
     client.close_flow(opened.flow_key)
@@ -153,6 +166,7 @@
         tally.completed += 1
     else:
         tally.broken += 1
+        tally.observe(recorder.BROKEN, asked_at)
 
 
 def _count(tally, outcome, payload):
