--- a/standins/experiment.py
+++ b/standins/experiment.py
@@ -228,8 +228,8 @@
 @click.option('--seed', default=1)
 @click.option('--out', default='out/experiment', help='folder for results')
 @click.option('--log', 'log_path', default=os.devnull)
-def main(name, seconds, warm_up, rate, shares, requests, pause, deadline, idempotent,
-         steps, network, seed, out, log_path):
+def main(name, seconds, warm_up, rate, shares, requests, pause, deadline,
+         idempotent, steps, network, seed, out, log_path):
     r"""Measure a deployment on loopback under a script of changes."""
     plan = deployment.PLAN_BY_NAME[name]
     mix = Mix(rate, shares or {item.name: 1 for item in plan.services},
