Pace slow targets by their whole latency

Cause: the pause after a request was at most one second, so a cold target of one slot with requests of 500 ms was busy for 32% of the time instead of 6%. Change: the pause is at most 10 s; the back-off after failures keeps its maximum of one second. Conclusion: with requests longer than 670 ms the cold share is exceeded again, as a bound on the effect of a request that hangs.

--- a/poplarstep/limits/ramp.py
+++ b/poplarstep/limits/ramp.py
@@ -39,7 +39,9 @@
 WINDOWS = 16
 FALL_FACTOR = 0.5
 MINIMUM_GAP_MS = 10
-MAXIMUM_GAP_MS = 1000
+MAXIMUM_BACKOFF_MS = 1000
+# One request that hangs must not stop the target for minutes.
+MAXIMUM_PACE_MS = 10_000
 
 
 class LatencyBaseline:
@@ -313,11 +315,13 @@
         self.fell_at = now
 
     def _back_off(self, now):
-        self._wait(now, MINIMUM_GAP_MS * 2 ** min(self.failures, 10))
+        self._wait(now, min(
+            MAXIMUM_BACKOFF_MS,
+            MINIMUM_GAP_MS * 2 ** min(self.failures, 10)))
 
     def _wait(self, now, gap_ms):
         self.next_start_at = max(
-            self.next_start_at, now + int(min(gap_ms, MAXIMUM_GAP_MS)))
+            self.next_start_at, now + int(min(gap_ms, MAXIMUM_PACE_MS)))
 
 
 def make_ramp(cold_limit, ceiling):
--- a/poplarstep/limits/tests/test_ramp.py
+++ b/poplarstep/limits/tests/test_ramp.py
@@ -72,21 +72,21 @@
 
 
 @pytest.mark.parametrize('ceiling', [1, 2, 3])
-def test_paces_starts_while_cold(ceiling):
+@pytest.mark.parametrize('latency_ms', [20, 100, 500])
+def test_paces_starts_while_cold(ceiling, latency_ms):
     """Guards against a cold target with few slots that is always busy."""
     subject = ramp.make_ramp(1, ceiling)
     started = 0
     ends = []
-    for now in range(1000):
+    for now in range(50 * latency_ms):
         while ends and ends[0] <= now:
             ends.pop(0)
-            subject.finished(now, LATENCY_MS, True)
+            subject.finished(now, latency_ms, True)
         if subject.may_start(now):
             subject.started(now)
             started += 1
-            ends.append(now + LATENCY_MS)
-    share = (started - 1) * LATENCY_MS / 1000 / ceiling
-    assert share <= 2 * ramp.COLD_SHARE
+            ends.append(now + latency_ms)
+    assert (started - 1) / 50 / ceiling <= 2 * ramp.COLD_SHARE
 
 
 @pytest.mark.parametrize('ceiling', [1, 2, 16])
