--- a/poplarstep/edge/__init__.py
+++ b/poplarstep/edge/__init__.py
@@ -1,3 +1,18 @@
 """Tasks that own sockets, files and clocks, and the codec they use."""
 
-__all__ = ['clock', 'codec', 'proxy_header']
+__all__ = [
+    'clock',
+    'codec',
+    'datagrams',
+    'frame',
+    'history',
+    'link',
+    'logs',
+    'metrics',
+    'proxy_header',
+    'storage',
+    'target_client',
+    'task',
+    'web',
+    'wire',
+]
