Let requests of ended flows move to another flow outside the retry budget

Cause: a planned drain ends all flows of a target at once. With the stricter window of the retry budget only some of their requests could move, and one of 12 ended as 'not run' at its deadline (scenario 'Flows of <change> end at the deadline of the service', 2 cases). Change: the first move of a request that did not run is not charged. Before: 2 scenario cases failed. After: all scenarios pass.

--- a/poplarstep/caller/exchange.py
+++ b/poplarstep/caller/exchange.py
@@ -186,7 +186,12 @@
     del flow.exchange_by_number[exchange.number]
     flow.waiting.append(exchange)
     exchange.token = None
-    exchange.retry = True
+    # The first move to another flow of what did not run is no extra load:
+    # a planned drain moves all flows of a target at once, and the budget
+    # would let only a tenth of them go on.
+    moves = reason in ENDED_REASONS and told is verdict.Verdict.NOT_RUN
+    exchange.retry = exchange.moved or not moves
+    exchange.moved = True
     exchange.earlier = exchange.decided = told
     exchange.reason = reason
     exchange.part_by_index = {}
--- a/poplarstep/caller/state.py
+++ b/poplarstep/caller/state.py
@@ -67,7 +67,9 @@
     number, token : int, bytes
         Identity of the present attempt; None until it is sent.
     retry : bool
-        Whether the present attempt is not the first.
+        Whether the present attempt is charged to the retry budget.
+    moved : bool
+        Whether an attempt has been refused before.
     earlier : Verdict
         Whether an earlier attempt may have run.
     decided, reason : Verdict, str
@@ -76,8 +78,9 @@
 
     __slots__ = (
         'ask', 'number', 'payload', 'idempotent', 'deadline', 'token',
-        'retry', 'abandoned', 'earlier', 'decided', 'reason', 'resend_at',
-        'resend_after', 'retry_after', 'resends', 'part_by_index')
+        'retry', 'moved', 'abandoned', 'earlier', 'decided', 'reason',
+        'resend_at', 'resend_after', 'retry_after', 'resends',
+        'part_by_index')
 
     def __init__(self, ask, payload, idempotent, deadline, now):
         self.ask = ask
@@ -87,6 +90,7 @@
         self.deadline = deadline
         self.token = None
         self.retry = False
+        self.moved = False
         self.abandoned = False
         self.earlier = verdict.Verdict.NOT_RUN
         self.decided = verdict.Verdict.NOT_RUN
