Give up targets that can't be reached, so that their flows move

Cause: requests of flows on a dead target waited in the agent's queue until their deadline, each one after the other; balancers went on selecting it. Ruled out: slow failure detection by the ramp; it resets, but nothing ended the flows. Change: an agent whose target has stopped announcing itself for 2 s reports it as leaving; when connections broke too, for 1.5 s, it ends the flows and refuses what waits as not run, and callers move to another target.

--- a/poplarstep/requests/admission.py
+++ b/poplarstep/requests/admission.py
@@ -34,6 +34,9 @@
 # A target may announce more than it bears when cold, so its claim raises
 # nothing: above this limit the ramp goes by completed requests only.
 COLD_LIMIT = 1
+# Connections broke and three announcements are missing: the target is given
+# up, so that what waits for it can move before callers give up.
+GONE_MS = 1500
 
 ADMISSION = stage.Stage('admission')
 
@@ -56,11 +59,14 @@
     lost : bool
         A connection to the target broke and it has not announced itself
         since; it may be another run, even of another service.
+    lost_at : int
+        When that connection broke, in ms; None once the target has been
+        reported as gone.
     """
 
     __slots__ = (
         'agent', 'ramp', 'queue', 'in_flight', 'earlier', 'lost',
-        'target_incarnation', 'recent_ms', 'latency_ms')
+        'lost_at', 'target_incarnation', 'recent_ms', 'latency_ms')
 
     def __init__(self, agent, queue):
         self.agent = agent
@@ -69,6 +75,7 @@
         self.in_flight = set()
         self.earlier = set()
         self.lost = False
+        self.lost_at = None
         self.target_incarnation = None
         self.recent_ms = collections.deque(maxlen=LATENCY_SAMPLES)
         self.latency_ms = 0.0
@@ -90,6 +97,7 @@
 def target_state(state, event, now):
     r"""Take in an announcement; a new incarnation starts cold."""
     state.lost = False
+    state.lost_at = None
     if event.incarnation != state.target_incarnation:
         state.target_incarnation = event.incarnation
         # Requests in flight belong to the run that ended; their calls
@@ -150,8 +158,9 @@
         return []
     state.agent.counters.failed += 1
     current = _finished(state, event, False, now)
-    if current and message.connection_broke(event):
+    if current and message.connection_broke(event) and not state.lost:
         state.lost = True
+        state.lost_at = now
     if current and (state.lost or not event.ran):
         state.ramp.reset_cold()
     messages = []
@@ -176,7 +185,11 @@
     r"""Refuse what has waited past its deadline; dispatch what fits."""
     if event.name != TICK:
         return [event]
-    return _dispatch(state, now)
+    gone = []
+    if state.lost_at is not None and now - state.lost_at >= GONE_MS:
+        state.lost_at = None
+        gone = [effect.Loop(message.TargetGone())]
+    return gone + _dispatch(state, now)
 
 
 def _requeue(state, event, now):
--- a/poplarstep/requests/assembly.py
+++ b/poplarstep/requests/assembly.py
@@ -11,7 +11,7 @@
 from poplarstep.requests import verification
 
 # Modules whose ticks the front end subscribes to.
-TICKING = (subscriber, expiry, admission)
+TICKING = (subscriber, announcing, expiry, admission)
 
 
 def make_pipeline(settings, incarnation):
--- a/poplarstep/requests/message.py
+++ b/poplarstep/requests/message.py
@@ -195,6 +195,12 @@
         self.leaving = leaving
 
 
+class TargetGone(record.Record):
+    r"""The target could not be reached for a while and is silent."""
+
+    __slots__ = ()
+
+
 class Leave(record.Record):
     r"""The agent has been asked to stop; it takes no new work."""
 
--- a/poplarstep/requests/state.py
+++ b/poplarstep/requests/state.py
@@ -65,7 +65,8 @@
     __slots__ = (
         'opened', 'open_refused', 'dispatched', 'answered', 'resent',
         'refused_not_run', 'refused_may_have_run', 'misrouted', 'failed',
-        'flows_expired', 'answers_dropped', 'duplicate_opens')
+        'flows_expired', 'target_silences', 'answers_dropped',
+        'duplicate_opens')
 
     def __init__(self):
         for name in self.__slots__:
@@ -107,7 +108,8 @@
         'node', 'data_centre', 'agent_address', 'incarnation', 'catalogue',
         'flow_idle_ms', 'answer_bytes_limit', 'target', 'works_from',
         'revision',
-        'leaving', 'next_serial', 'flow_by_serial', 'serial_by_opener',
+        'leaving', 'silent', 'heard_at', 'next_serial', 'flow_by_serial',
+        'serial_by_opener',
         'cut_by_serial', 'drain_until', 'answer_bytes',
         'answer_size_by_key', 'counters')
 
@@ -125,6 +127,8 @@
         self.works_from = None
         self.revision = 0
         self.leaving = False
+        self.silent = False
+        self.heard_at = 0
         self.next_serial = 1
         self.flow_by_serial = collections.OrderedDict()
         self.serial_by_opener = {}
--- a/poplarstep/requests/verification.py
+++ b/poplarstep/requests/verification.py
@@ -50,7 +50,7 @@
         return 'misrouted'
     if state.catalogue.data_centre_out(target.data_centre):
         return 'data-centre-out'
-    if state.leaving or target.leaving or target.drained or (
+    if state.leaving or state.silent or target.leaving or target.drained or (
             state.target.leaving):
         return 'draining'
     if not states.works(state, now):
--- a/scenarios/tests/drain.feature
+++ b/scenarios/tests/drain.feature
@@ -40,3 +40,18 @@
       | change                |
       | the drain of a target |
       | the leave of a target |
+
+  Scenario: Requests of a target that dies without a word move to others
+    Given a system with 3 balancers
+    And a service dispatch with 3 targets
+    And 12 open flows to dispatch
+    When the death of the target happens
+    And each flow sends a request
+    And 8000 ms pass
+    Then all requests are answered
+    And nothing is broken
+    And the first target has no flows
+    When flows are counted
+    And 9 new flows to dispatch send a request
+    And 4000 ms pass
+    Then the first target has no new flow
