Sharpen the state machine of the agent and the model of a target

Cause: with a mechanism switched off, four tests that were meant to notice did not: the model target reported failures with an elapsed time of 0, so the ramp fell for each of them; the machine acknowledged most of its requests away.

--- a/poplarstep/requests/tests/test_agent_machine.py
+++ b/poplarstep/requests/tests/test_agent_machine.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 
 from poplarstep.configuration import model
 from poplarstep.core import address
@@ -19,10 +20,11 @@
 FABRIC = address.Address('10.3.0.1', 1)
 ADDRESSES = tuple(address.Address('10.4.0.%d' % n, 53) for n in (1, 2))
 SERVICES = ('dispatch', 'certs')
-ANSWER_LIMIT = 6000
+ANSWER_LIMIT = 2500
 QUEUE_LENGTH = 5
 CONNECTIONS = 6
 DRAIN_MS = 4000
+RARELY = (False, False, False, True)
 INCARNATION = 7
 
 
@@ -45,6 +47,8 @@
         self.calls = {}
         self.may_have_run = set()
         self.told_not_run = set()
+        self.cancelled = set()
+        self.reasons = []
         self.answers = {}
         self.put([
             model.Service(name, number, ADDRESSES[number - 1], 0, DRAIN_MS,
@@ -87,6 +91,7 @@
             assert service.decode() == SERVICES[self.service]
             assert identity not in self.may_have_run, 'dispatched twice'
             assert identity not in self.told_not_run, 'refused, then run'
+            assert identity not in self.cancelled, 'cancelled, then run'
             assert len(self.calls) < 3, 'more than the slots'
             self.calls[item.key] = identity
             self.may_have_run.add(identity)
@@ -95,6 +100,7 @@
 
     def judge_reply(self, body):
         identity = b'%d|%d' % (body.flow_key, body.number)
+        self.reasons.append(getattr(body, 'reason', ''))
         if isinstance(body, packet.Answer):
             whole = self.answers[identity]
             start = body.part * packet.MAXIMUM_PAYLOAD_BYTES
@@ -127,10 +133,11 @@
 
     @stateful.precondition(lambda self: self.tokens)
     @stateful.rule(
-        data=strategies.data(), number=strategies.integers(1, 70),
-        wait=strategies.sampled_from([1, 60, 900]),
-        strays=strategies.booleans(),
-        acknowledged=strategies.integers(1, 4))
+        data=strategies.data(),
+        number=strategies.sampled_from([1, 2, 3, 4, 66]),
+        wait=strategies.sampled_from([1, 300, 9000]),
+        strays=strategies.sampled_from(RARELY),
+        acknowledged=strategies.sampled_from([1, 1, 1, 1, 1, 3]))
     def request(self, data, number, wait, strays, acknowledged):
         service, key, opened = data.draw(strategies.sampled_from(self.tokens))
         identity = b'%s|%d|%d' % (service.encode(), key, number)
@@ -140,13 +147,14 @@
 
     @stateful.precondition(lambda self: self.tokens)
     @stateful.rule(
-        data=strategies.data(), number=strategies.integers(1, 6),
+        data=strategies.data(), number=strategies.integers(1, 4),
         closes=strategies.booleans())
     def cancel_or_close(self, data, number, closes):
         _, key, opened = data.draw(strategies.sampled_from(self.tokens))
         if closes and number == 1:
             self.arrive(packet.Close(key, opened))
         else:
+            self.cancelled.add(b'%d|%d' % (key, number))
             self.arrive(packet.Cancel(key, opened, number))
 
     @stateful.precondition(lambda self: self.calls)
@@ -168,7 +176,8 @@
             'target-status-503')
         self.feed(message.TargetFailed(key, ran != 'not run', reason, 1.0))
 
-    @stateful.rule(duration=strategies.sampled_from([20, 300, 5000, 31_000]))
+    @stateful.rule(
+        duration=strategies.sampled_from([20, 20, 300, 5000, 31_000]))
     def advance(self, duration):
         self.now += duration
         for name in (admission.TICK, expiry.TICK):
@@ -179,15 +188,18 @@
         self.target_run += restarts
         self.announce()
 
-    @stateful.rule(known=strategies.booleans())
-    def target_changes_service(self, known):
+    @stateful.rule(
+        known=strategies.booleans(), changes=strategies.sampled_from(RARELY))
+    def target_changes_service(self, known, changes):
+        if not changes:
+            return
         self.service = 1 - self.service
         self.target_run += 1
         self.announce()
         if known:
             self.put_target()
 
-    @stateful.rule(drained=strategies.booleans())
+    @stateful.rule(drained=strategies.sampled_from(RARELY))
     def operators_drain(self, drained):
         self.put_target(drained)
 
@@ -211,9 +223,48 @@
 
 # Shrinking a failure takes longer than the timeout of a test.
 AgentMachine.TestCase.settings = hypothesis.settings(
-    max_examples=200, stateful_step_count=50,
+    max_examples=300, stateful_step_count=50,
     phases=[hypothesis.Phase.generate])
 
 
 class TestAgent(AgentMachine.TestCase):
     """Guards against double runs, false refusals and growing memory."""
+
+
+@pytest.mark.parametrize('fault, reason', [
+    ('cancelled', 'cancelled'), ('earlier run', 'flow-ended'),
+    ('other flow', 'flow-ended'), ('refused', 'deadline')])
+def test_request_is_not_dispatched(fault, reason):
+    """Guards against a dispatch after a verdict or for another run."""
+    machine = AgentMachine()
+    machine.open(again=False)
+    service, key, opened = machine.tokens[0]
+    first, second = [
+        packet.Request(key, opened, number, False, 300, 1,
+                       b'%s|%d|%d' % (service.encode(), key, number))
+        for number in (1, 2)]
+    machine.arrive(first)
+    (running,) = machine.calls
+    if fault == 'cancelled':
+        machine.cancelled.add(b'%d|1' % key)
+        machine.arrive(packet.Cancel(key, opened, 1))
+        machine.calls.clear()
+        machine.may_have_run.clear()
+        machine.feed(message.TargetFailed(
+            running, False, 'target-status-503', 1.0))
+    elif fault == 'refused':
+        machine.arrive(second)
+        machine.advance(301)
+        machine.arrive(second)
+        machine.answers[b'%d|1' % key] = b''
+        machine.feed(message.TargetAnswered(running, b'', 301.0))
+    else:
+        changed = {'earlier run': opened.replace(incarnation=1),
+                   'other flow': opened.replace(serial=99)}
+        machine.feed(message.TargetFailed(
+            running, True, 'target-status-500', 1.0))
+        machine.arrive(second.replace(token=changed[fault]))
+    machine.calls.clear()
+    machine.advance(300)
+    assert machine.calls == {}
+    assert reason in machine.reasons
--- a/scenarios/changes.py
+++ b/scenarios/changes.py
@@ -220,6 +220,14 @@
     _restart(system, truthful=False)
 
 
+@CHANGES.register('a restart too quick to refuse')
+def target_restarts_quickly(system):
+    r"""Restart a target so fast that no connection is refused."""
+    first = next(iter(system.target_by_name.values()))
+    first.die()
+    first.start(truthful=False)
+
+
 @CHANGES.register('the restart of the agent alone')
 def agent_restarts(system):
     r"""Restart the agent; the target goes on."""
--- a/scenarios/target.py
+++ b/scenarios/target.py
@@ -93,9 +93,8 @@
         self.run = None
         self.stale = max(0, self.pooled - len(self.running))
         self.pooled = 0
-        for key in list(self.running):
-            self._fail(key, 'target-ConnectionResetError')
-        self.running = {}
+        for running in list(self.running):
+            self._fail(running, 'target-ConnectionResetError')
 
     def announce(self):
         r"""Tell the agent now what the target is."""
@@ -125,7 +124,7 @@
             return self._report(node, message.TargetFailed(
                 item.key, True, 'target-status-500', 0.0))
         self.runs_by_payload[item.payload] += 1
-        run = object()
+        run = [self.driver.now]
         self.running[(node, item.key)] = run
         self.most_running = max(self.most_running, len(self.running))
         self.pooled = max(self.pooled, len(self.running))
@@ -135,10 +134,9 @@
 
     def cancel(self, node, item):
         r"""Stop a request that the caller no longer wants."""
-        if self.running.pop((node, item.key), None) is not None:
+        if (node, item.key) in self.running:
             self.cancelled.append(item.key)
-            self._report(node, message.TargetFailed(
-                item.key, True, 'target-cancelled', 0.0))
+            self._fail((node, item.key), 'target-cancelled')
 
     def _judge(self, item):
         if item.payload.split(b'|')[0].decode() != self.service:
@@ -160,7 +158,9 @@
 
     def _fail(self, running, reason):
         node, key = running
-        self._report(node, message.TargetFailed(key, True, reason, 0.0))
+        elapsed_ms = self.driver.now - self.running.pop(running)[0]
+        self._report(node, message.TargetFailed(
+            key, True, reason, float(elapsed_ms)))
 
     def _report(self, node, outcome):
         r"""Report to the run of the agent that made the call."""
--- a/scenarios/tests/cold_start.feature
+++ b/scenarios/tests/cold_start.feature
@@ -32,6 +32,8 @@
       | a restart that is announced late | 8     | 1     | 1    | 150     | 100      |
       | a restart that is never told     | 8     | 1     | 1    | 10      | 100      |
       | a restart that is never told     | 8     | 1     | 1    | 150     | 100      |
+      | a restart too quick to refuse    | 8     | 1     | 1    | 10      | 100      |
+      | a restart too quick to refuse    | 8     | 1     | 1    | 50      | 100      |
       | the restart of the agent alone   | 8     | 1     | 1    | 10      | 100      |
 
   Scenario Outline: <change> while a target with <slots> slots is busy
