Let a cold target take a quarter of its connections

Cause: after a restart of target and agent the empty target looked least loaded and took more flows than it could serve while cold. Change: until the ramp has reached all slots once, an agent takes 25% of the target's connections, at least one. A cold target without requests stays at its share.

--- a/poplarstep/requests/admission.py
+++ b/poplarstep/requests/admission.py
@@ -210,6 +210,7 @@
 def _dispatch(state, now):
     r"""Send waiting requests to the target while the ramp allows it."""
     messages = []
+    state.agent.cold = state.ramp.is_cold()
     while (
             not state.lost and states.works(state.agent, now)
             and state.ramp.may_start(now)):
--- a/poplarstep/requests/ownership.py
+++ b/poplarstep/requests/ownership.py
@@ -44,7 +44,7 @@
     serial = state.serial_by_opener.get(opener)
     if serial is not None:
         state.counters.duplicate_opens += 1
-    elif len(state.flow_by_serial) >= state.target.connections:
+    elif len(state.flow_by_serial) >= states.connections(state):
         return [verification.refuse_open(
             state, event.source, forwarded, 'connections-full')]
     else:
--- a/poplarstep/requests/state.py
+++ b/poplarstep/requests/state.py
@@ -7,6 +7,10 @@
 from poplarstep.core import verdict as verdicts
 
 
+# A cold target takes this share of its connections, at least one.
+COLD_CONNECTIONS_PERCENT = 25
+
+
 class Phase(enum.IntEnum):
     r"""Where a request stands."""
 
@@ -95,6 +99,8 @@
     works_from : int or None
         Time before which the target is given no work; None until it has
         announced itself.
+    cold : bool
+        Whether the target has not reached all of its slots since a start.
     flow_by_serial : OrderedDict
         In the order of their last packets.
     cut_by_serial : dict
@@ -106,7 +112,7 @@
     __slots__ = (
         'node', 'data_centre', 'agent_address', 'incarnation', 'catalogue',
         'flow_idle_ms', 'answer_bytes_limit', 'target', 'works_from',
-        'revision',
+        'cold', 'revision',
         'leaving', 'next_serial', 'flow_by_serial', 'serial_by_opener',
         'cut_by_serial', 'drain_until', 'answer_bytes',
         'answer_size_by_key', 'counters')
@@ -123,6 +129,7 @@
         self.answer_bytes_limit = answer_bytes_limit
         self.target = None
         self.works_from = None
+        self.cold = True
         self.revision = 0
         self.leaving = False
         self.next_serial = 1
@@ -144,6 +151,14 @@
         flow_idle_ms, answer_bytes_limit)
 
 
+def connections(state):
+    r"""Return the number of flows that the target may hold now."""
+    if not state.cold:
+        return state.target.connections
+    return max(
+        1, state.target.connections * COLD_CONNECTIONS_PERCENT // 100)
+
+
 def works(state, now):
     r"""Return whether the target may be given work by this agent run."""
     return state.target is not None and now >= state.works_from
