Spread polls and collect announcements after a mass restart

Cause: nodes that started or failed over together polled in the same 50 ms, nodes without a leader polled every 100 ms for ever, every 50 ms of a restart made a log entry and a version, and the leader scanned all targets 20 times a second for expiry.

Change: the first poll falls within 400 ms and one after a failover within 200 ms, by name; pauses without a confirmation double to 800 ms; a control host holds each poll for 300 to 400 ms. Announcements are collected for 200 ms into one write of at most 8 entries of 1,000; the rest is counted as postponed. Expiry is checked once a second. Relays report positions that came from other relays without slowing them down twice, which the jitter brought to light: the leader saw ages of 4.8 s in place of 3.9 s.

The peak at a relay comes from answering all children at each version and is not reduced.

--- a/benchmarks/dissemination.py
+++ b/benchmarks/dissemination.py
@@ -8,6 +8,7 @@
 of the encoded messages. TCP and IP headers are not counted.
 """
 
+import collections
 import json
 import math
 
@@ -16,7 +17,11 @@
 
 from poplarstep.configuration import command
 from poplarstep.configuration import model as objects
+from poplarstep.control import intake
 from poplarstep.core import address
+from poplarstep.core import effect
+from poplarstep.core import timer
+from poplarstep.dissemination import message
 from poplarstep.dissemination import model
 from poplarstep.edge import codec
 from poplarstep.edge import link
@@ -173,6 +178,118 @@
         for level, known in enumerate(left)]
 
 
+class Peak:
+    r"""Messages that arrive at each node in windows of 50 ms."""
+
+    __slots__ = ('network', 'count_by_window')
+
+    def __init__(self, network):
+        self.network = network
+        self.count_by_window = collections.Counter()
+        deliver = network.give
+
+        def give(node, item):
+            if type(item) is effect.Received:
+                self.count_by_window[
+                    node.name, network.now // model.TICK_PERIOD_MS] += 1
+            deliver(node, item)
+
+        network.give = give
+
+    def highest(self, kind):
+        r"""Return the highest count at a node of a kind."""
+        return max(
+            count for (name, _), count in self.count_by_window.items()
+            if name.startswith(kind))
+
+
+class CountedNetwork(model.Network):
+    r"""Network whose ``give`` can be replaced."""
+
+    __slots__ = ('give',)
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.give = super().give
+
+
+def measure_restart(targets, returning, relays):
+    r"""Return what happens when some of the targets return at once.
+
+    The returning agents share the catalogue of their relay, because 3,600
+    catalogues of 36,000 targets do not fit into memory.
+    """
+    network = CountedNetwork(seed=1)
+    cluster = model.Cluster(network)
+    deployment = Deployment(network, cluster)
+    for index in range(CONTROLS):
+        model.add_control(cluster, index)
+    create_service(cluster)
+    announce(cluster, targets)
+    seeds = tuple(host.address for host in cluster.hosts)
+    for index in range(relays):
+        deployment.relays.append(model.add_node(
+            network, 'balancer-%d' % index, 'balancer',
+            model.place(2, index), seeds))
+    proposals = run_intake(cluster)
+    network.run(3000)
+    peak = Peak(network)
+    started = network.now
+    for index in range(returning):
+        add_agent(deployment, index, incarnation=started + 2)
+        agent = deployment.agents[-1]
+        agent.subscribed.catalogue = deployment.relays[
+            index % relays].catalogue
+        network.give(agent, message.Announced(
+            announcement(index, incarnation=started + 2)))
+    held = cluster.leader.catalogue.target_by_name
+    waiting = {agent_name(index) for index in range(returning)}
+    entries = len(proposals)
+    while waiting and network.now - started < 30_000:
+        network.run(50)
+        waiting = {
+            name for name in waiting
+            if held[name].incarnation != started + 2}
+    listed_ms = network.now - started
+    network.run(3000)
+    return {
+        'returning': returning, 'listed_ms': listed_ms,
+        'missing': len(waiting), 'log_entries': len(proposals) - entries,
+        'versions': len(cluster.committed_at),
+        'relay_peak_per_50_ms': peak.highest('balancer'),
+        'control_peak_per_50_ms': peak.highest('control'),
+        'refused_polls': sum(
+            item.published.refused
+            for item in cluster.hosts + deployment.relays)}
+
+
+def run_intake(cluster):
+    r"""Let the leader propose what it gathers; return the proposals."""
+    leader = cluster.leader
+    state = intake.make_intake(
+        cluster.machine_by_name[leader.name], leader.published.gathered,
+        lambda now: True, lambda item: item)
+    proposals = []
+
+    def tick():
+        produced = intake.INTAKE.process(
+            state, timer.Tick(intake.TICK),
+            cluster.network.now + leader.offset)
+        for item in produced:
+            for part in getattr(item, 'proposals', (item,)):
+                # The service of the model's targets never expires here.
+                if type(part.payload.body) is command.Announce:
+                    proposals.append(part)
+                    cluster.network.at(
+                        cluster.network.now + cluster.replication_ms,
+                        lambda part=part: cluster.commit(part.payload))
+        cluster.network.at(
+            cluster.network.now + intake.TICK_PERIOD_MS, tick)
+
+    tick()
+    return proposals
+
+
 def fit(points):
     r"""Return slope, its standard error, and intercept of a line.
 
@@ -207,9 +324,11 @@
               help='configuration changes in the measured 20 s')
 @click.option('--levels', default=5,
               help='levels of relays for the lease that is left')
+@click.option('--returning', default='360,1900,3600',
+              help='numbers of targets of 36,000 that return at once')
 @click.option('--output', type=click.Choice(['table', 'json']),
               default='table')
-def main(agents, changes, levels, output):
+def main(agents, changes, levels, returning, output):
     r"""Print bytes per second, slopes per agent, and leases by level."""
     rows = [measure(int(count), changes) for count in agents.split(',')]
     slopes = []
@@ -221,15 +340,21 @@
                 'quantity': name, 'bytes/s per agent': slope,
                 'standard error': error, 'bytes/s at 0 agents': intercept})
     leases = measure_leases(levels)
+    restarts = [
+        measure_restart(36_000, int(count), 36)
+        for count in returning.split(',') if count]
     if output == 'json':
         click.echo(json.dumps(
-            {'rows': rows, 'slopes': slopes, 'leases': leases}))
+            {'rows': rows, 'slopes': slopes, 'leases': leases,
+             'restarts': restarts}))
         return
     click.echo(tabulate.tabulate(rows, headers='keys', floatfmt='.1f'))
     click.echo()
     click.echo(tabulate.tabulate(slopes, headers='keys', floatfmt='.2f'))
     click.echo()
     click.echo(tabulate.tabulate(leases, headers='keys', floatfmt='.0f'))
+    click.echo()
+    click.echo(tabulate.tabulate(restarts, headers='keys'))
 
 
 if __name__ == '__main__':
--- a/poplarstep/control/intake.py
+++ b/poplarstep/control/intake.py
@@ -22,13 +22,20 @@
 TICK_PERIOD_MS = 50
 # A target that was not heard of for this long leaves the catalogue. Its
 # position is refreshed every 2 s and waits for up to 600 ms in the poll of
-# each of three levels; an election or a change of the upstream takes less
-# than 4 s.
+# the agent and of two relays and for 100 ms in that of a follower; an
+# election or a change of the upstream takes less than 4 s.
 FAILOVER_MS = 4000
 TARGET_EXPIRY_MS = (
-    gathering.REFRESH_MS + 3 * publisher.RELAY_HOLD_MS + FAILOVER_MS)
+    gathering.REFRESH_MS + 3 * publisher.RELAY_HOLD_MS
+    + publisher.LEASE_ONLY_HOLD_MS + FAILOVER_MS)
 REPROPOSE_MS = 1000
 BATCH_OBJECTS = 1000
+# Announcements are collected for this long, so that a mass restart makes
+# few versions; each version is an answer to every node.
+BATCH_MS = 200
+# Bounds one write of the log to about 1 MB; the rest follows in 200 ms.
+BATCHES_PER_WRITE = 8
+EXPIRY_CHECK_MS = 1000
 DEFAULT_PRIORITY = 0
 DEFAULT_DRAIN_DEADLINE_MS = 600_000
 
@@ -54,7 +61,7 @@
 
     __slots__ = (
         'machine', 'gathered', 'may_lead', 'encode', 'proposed_at',
-        'leading_since')
+        'leading_since', 'batch_due', 'expiry_due', 'postponed')
 
     def __init__(self, machine, gathered, may_lead, encode):
         self.machine = machine
@@ -63,6 +70,9 @@
         self.encode = encode
         self.proposed_at = {}
         self.leading_since = None
+        self.batch_due = 0
+        self.expiry_due = 0
+        self.postponed = 0
 
 
 def make_intake(machine, gathered, may_lead, encode):
@@ -94,21 +104,35 @@
         return []
     if state.leading_since is None:
         state.leading_since = now
-    announcements = [
-        item for item in gathering.unconfirmed(
-            state.gathered, state.machine.catalogue)
+    proposals = []
+    if now >= state.batch_due:
+        proposals = [
+            _own_proposal(state, command.Announce(tuple(batch)))
+            for batch in _batches(_news(state, now))]
+        state.batch_due = now + (BATCH_MS if proposals else 0)
+    if now >= state.expiry_due:
+        state.expiry_due = now + EXPIRY_CHECK_MS
+        proposals.extend(
+            _own_proposal(state, command.ExpireTargets(tuple(batch)))
+            for batch in _batches(_expiries(state, now)))
+        _forget_old_proposals(state, now)
+    return [consensus.ProposeBatch(tuple(proposals))] if proposals else []
+
+
+def _news(state, now):
+    r"""Return the announcements to propose now, a bounded number."""
+    limit = BATCH_OBJECTS * BATCHES_PER_WRITE
+    chosen = []
+    for item in gathering.unconfirmed(
+            state.gathered, state.machine.catalogue):
         # An entry for a service that does not exist would change nothing.
-        if item.service in state.machine.catalogue.service_by_name
-        and _due(state, (item.name, gathering.order(item)), now)]
-    proposals = [
-        _own_proposal(state, command.Announce(tuple(batch)))
-        for batch in _batches(announcements)]
-    expiries = _expiries(state, now)
-    proposals.extend(
-        _own_proposal(state, command.ExpireTargets(tuple(batch)))
-        for batch in _batches(expiries))
-    _forget_old_proposals(state, now)
-    return proposals
+        if item.service not in state.machine.catalogue.service_by_name:
+            continue
+        if len(chosen) >= limit:
+            state.postponed += 1
+        elif _due(state, (item.name, gathering.order(item)), now):
+            chosen.append(item)
+    return chosen
 
 
 def _own_proposal(state, body):
--- a/poplarstep/control/tests/test_query.py
+++ b/poplarstep/control/tests/test_query.py
@@ -131,7 +131,7 @@
         for item in intake.INTAKE.process(
                 state, timer.Tick(intake.TICK), now):
             bodies.extend(
-                part.payload for part in getattr(item, 'proposals', (item,)))
+                part.payload for part in item.proposals)
         return bodies
 
     assert proposed(NOW) == [command.Announce((announcement('new'),))]
--- a/poplarstep/dissemination/gathering.py
+++ b/poplarstep/dissemination/gathering.py
@@ -16,8 +16,7 @@
 POSITION_RETENTION_MS = 60_000
 SWEEP_MS = 1000
 # A position is repeated after this time, less a part that depends on the
-# name so that the repetitions do not come together. Every level uses the
-# same part, so a position waits for its repetition at the first level only.
+# name so that the repetitions do not come together.
 REFRESH_MS = 2000
 REFRESH_SPREAD_MS = 400
 # An announcement that the catalogue does not show is repeated after this.
@@ -29,15 +28,20 @@
 
 
 class Heard(record.Record):
-    r"""Position of a node; ``run`` holds 32 bits of its incarnation."""
+    r"""Position of a node; ``run`` holds 32 bits of its incarnation.
 
-    __slots__ = ('role', 'version', 'run', 'at')
+    ``direct`` tells a node that polls here from one that a relay reported.
+    """
+
+    __slots__ = ('role', 'version', 'run', 'at', 'direct')
 
-    def __init__(self, role: str, version: int, run: int, at: int):
+    def __init__(
+            self, role: str, version: int, run: int, at: int, direct: bool):
         self.role = role
         self.version = version
         self.run = run
         self.at = at
+        self.direct = direct
 
 
 class Gathering:
@@ -78,13 +82,13 @@
     for announcement in poll.announcements:
         note_announcement(gathering, announcement)
     _note(gathering, poll.node, Heard(
-        poll.role, poll.version, run_of(poll.incarnation), now))
+        poll.role, poll.version, run_of(poll.incarnation), now, True))
     for standing in poll.standings:
         for node, run, age in zip(
                 standing.nodes, standing.runs, standing.ages):
             _note(gathering, node, Heard(
                 standing.role, standing.version, run,
-                now - age * message.AGE_UNIT_MS))
+                now - age * message.AGE_UNIT_MS, False))
 
 
 def note_announcement(gathering, announcement):
@@ -151,12 +155,19 @@
             continue
         if known is None or (known.version, known.run) != (
                 heard.version, heard.run) or (
-                heard.at - known.at >= REFRESH_MS - route.spread(
-                    node, 0, REFRESH_SPREAD_MS)):
+                heard.at - known.at >= _refresh_ms(node, heard)):
             due.append((node, heard))
     return due
 
 
+def _refresh_ms(node, heard):
+    if not heard.direct:
+        # The first level has slowed it down; ages are rounded, so the
+        # same period would skip every second report.
+        return REFRESH_MS // 2
+    return REFRESH_MS - route.spread(node, 0, REFRESH_SPREAD_MS)
+
+
 def standings(positions, now):
     r"""Return positions in the compact form of a poll."""
     group_by_key = {}
--- a/poplarstep/dissemination/publisher.py
+++ b/poplarstep/dissemination/publisher.py
@@ -16,6 +16,7 @@
 from poplarstep.core import timer
 from poplarstep.dissemination import gathering
 from poplarstep.dissemination import message
+from poplarstep.dissemination import route
 
 TICK = 'publisher'
 TICK_PERIOD_MS = 50
@@ -27,6 +28,9 @@
 # Longest lease that an update grants. With a commit and a push of under
 # 500 ms, a data centre taken out receives no packet after 3 s.
 LEASE_MS = 2500
+# A change answers all polls of a publisher at once; the nodes then drift
+# apart because each poll is held for a time shorter by a part of this.
+HOLD_SPREAD_MS = 100
 # Control hosts ask the leader for their lease; there are at most six.
 LEASE_ONLY_HOLD_MS = 100
 MAXIMUM_WAITING = 16_384
@@ -150,7 +154,8 @@
         return waited >= LEASE_ONLY_HOLD_MS
     return (
         waiting.poll.version < state.catalogue.version
-        or waited >= state.hold_ms
+        or waited >= state.hold_ms - route.spread(
+            waiting.poll.node, waiting.poll.sequence, HOLD_SPREAD_MS)
         or state.lease_left(now) <= 0)
 
 
--- a/poplarstep/dissemination/subscriber.py
+++ b/poplarstep/dissemination/subscriber.py
@@ -24,9 +24,14 @@
 TICK_PERIOD_MS = 50
 # The publisher holds a poll for 400 ms; the rest allows for delays.
 POLL_TIMEOUT_MS = 1000
-# An upstream that cannot confirm the configuration is asked again after
-# this pause when no other is known.
+# After an answer without a confirmation the next poll waits for a pause that
+# doubles up to the maximum. It keeps the nodes from polling in a loop while
+# there is no leader; two pauses and a poll fit into 4 s.
 UNCONFIRMED_PAUSE_MS = 100
+MAXIMUM_PAUSE_MS = 800
+# Nodes that start or fail over together spread their polls over this time.
+FIRST_POLL_SPREAD_MS = 400
+FAILOVER_SPREAD_MS = 200
 
 SUBSCRIBER = stage.Stage('subscriber')
 
@@ -48,9 +53,9 @@
 
     __slots__ = (
         'node', 'role', 'incarnation', 'catalogue', 'route', 'lease_only',
-        'sequence', 'sent_at', 'waiting', 'not_before', 'lease_until',
-        'pending_version', 'pending_until', 'gathered', 'own_announcement',
-        'own_shown', 'reporting', 'confirmed')
+        'sequence', 'sent_at', 'waiting', 'not_before', 'pause_ms',
+        'lease_until', 'pending_version', 'pending_until', 'gathered',
+        'own_announcement', 'own_shown', 'reporting', 'confirmed')
 
     def __init__(
             self, node, role, incarnation, catalogue, upstream_route,
@@ -66,7 +71,8 @@
         self.sequence = incarnation
         self.sent_at = 0
         self.waiting = False
-        self.not_before = 0
+        self.not_before = None
+        self.pause_ms = UNCONFIRMED_PAUSE_MS
         self.lease_until = 0
         self.gathered = gathered
         self.own_announcement = None
@@ -116,6 +122,11 @@
         state.route.failed()
         gathering.upstream_changed(state.gathered)
         state.waiting = False
+        state.not_before = now + route.spread(
+            state.node, state.sequence, FAILOVER_SPREAD_MS)
+    if state.not_before is None:
+        state.not_before = now + route.spread(
+            state.node, state.sequence, FIRST_POLL_SPREAD_MS)
     if not state.waiting and now >= state.not_before:
         messages.extend(_poll(state, now))
     return messages
@@ -123,9 +134,11 @@
 
 @SUBSCRIBER.handles(message.Announced)
 def announced(state, event, now):
-    r"""Report this node's own target at once."""
+    r"""Report this node's own target at once, or in the first poll."""
     state.own_announcement = event.announcement
     state.incarnation = event.announcement.incarnation
+    if state.not_before is None or now < state.not_before:
+        return []
     return _poll(state, now)
 
 
@@ -203,13 +216,17 @@
         state.pending_until = state.sent_at + update.lease_ms
         _settle(state)
         state.not_before = now
+        state.pause_ms = UNCONFIRMED_PAUSE_MS
         return
     if update.lease_ms > 0 and update.version >= state.catalogue.version:
         state.lease_until = max(
             state.lease_until, state.sent_at + update.lease_ms)
         state.not_before = now
+        state.pause_ms = UNCONFIRMED_PAUSE_MS
         return
-    state.not_before = now + UNCONFIRMED_PAUSE_MS
+    state.not_before = now + state.pause_ms + route.spread(
+        state.node, state.sequence, state.pause_ms)
+    state.pause_ms = min(MAXIMUM_PAUSE_MS, 2 * state.pause_ms)
     state.route.unconfirmed(source, update.leader, now)
     if state.route.destination(now) != source:
         gathering.upstream_changed(state.gathered)
--- a/poplarstep/dissemination/tests/test_gathering.py
+++ b/poplarstep/dissemination/tests/test_gathering.py
@@ -64,7 +64,7 @@
     gathering.take_in(upper, poll('relay', standings=sent), 5000)
     for node, heard in lower.heard_by_node.items():
         assert upper.heard_by_node[node] == heard.replace(
-            at=heard.at + 4000)
+            at=heard.at + 4000, direct=False)
 
 
 def test_gathering_is_bounded():
@@ -102,7 +102,7 @@
     network.stop(world.relays[0])
     network.stop(world.cluster.hosts[1])
     network.run(15_000)
-    assert usual < intake.TARGET_EXPIRY_MS - 4000
+    assert usual < intake.TARGET_EXPIRY_MS - intake.FAILOVER_MS
     assert max(oldest) < intake.TARGET_EXPIRY_MS
     network.stop(world.agents[0])
     network.run(intake.TARGET_EXPIRY_MS + publisher.HOLD_MS)
--- a/poplarstep/dissemination/tests/test_schedule.py
+++ b/poplarstep/dissemination/tests/test_schedule.py
@@ -8,6 +8,7 @@
 from poplarstep.configuration import catalogue
 from poplarstep.configuration import model as objects
 from poplarstep.core import effect
+from poplarstep.core import timer
 from poplarstep.dissemination import message
 from poplarstep.dissemination import model
 from poplarstep.dissemination import publisher
@@ -326,6 +327,7 @@
     state = subscriber.make_subscriber(
         'agent-0', 'agent', own, catalogue.Catalogue(),
         (model.place(2, 0),))
+    state.not_before = 0
     held_target = functools.partial(target, 1)
     if held is not None:
         state.catalogue.apply([objects.Change(1, held_target(held))])
@@ -356,3 +358,45 @@
     return objects.Target(
         'agent-0', 1, 1, 1, model.place(4, 0), incarnation, 1, 1, 9, False,
         False, version)
+
+
+SPREADS = (
+    # what all nodes do at once, ms in which their polls may fall
+    ('start', subscriber.FIRST_POLL_SPREAD_MS),
+    ('fail over', subscriber.FAILOVER_SPREAD_MS),
+)
+
+
+@pytest.mark.parametrize('event, width', SPREADS)
+def test_nodes_that_act_together_spread_their_polls(event, width):
+    r"""Guards against a stampede of polls after a mass restart."""
+    due = []
+    for number in range(200):
+        state = subscriber.make_subscriber(
+            'agent-%d' % number, 'agent', 1, catalogue.Catalogue(),
+            (model.place(2, 0), model.place(2, 1)))
+        if event == 'fail over':
+            state.waiting = True
+        subscriber.tick(state, timer.Tick(subscriber.TICK), 10_000)
+        due.append(state.not_before - 10_000)
+    assert 0 <= min(due) and max(due) < width
+    tenth = width // 10
+    assert max(sum(start <= item < start + tenth for item in due)
+               for start in range(0, width, tenth)) <= 40
+
+
+def test_polls_without_a_leader_back_off():
+    r"""Guards against nodes that poll in a loop while nobody leads."""
+    world = schedule.World(seed=1)
+    world.network.run(3000)
+    world.cluster.lose_leader()
+    world.network.run(6000)
+    node = world.relays[0]
+    before = node.subscribed.sequence
+    world.network.run(10_000)
+    # A pause of 800 to 1,600 ms, and a poll that is answered at once.
+    assert node.subscribed.sequence - before <= 14
+    world.cluster.elect(world.cluster.hosts[1])
+    world.heal()
+    world.network.run(schedule.CONVERGENCE_MS)
+    assert world.settled(), 'a node backs off for longer than 4 s'
--- a/poplarstep/programs/control.py
+++ b/poplarstep/programs/control.py
@@ -103,6 +103,7 @@
         ('control_version', {}, machine.catalogue.version),
         ('control_targets', {}, len(machine.catalogue.target_by_number)),
         ('control_nodes', {}, len(gathered.heard_by_node)),
+        ('control_gathered_refused', {}, gathered.refused),
         ('control_leads', {}, int(replica.role == consensus_states.LEADER)),
     ])
     node.status = lambda: _status(replica, machine)
