Keep the drain of a target that was silent for a while

Cause: a drained target whose agent was not heard for 7.9 s left the configuration and came back undrained, so an accepted command reverted.

They come back drained, unless operators ended the drain meanwhile.

Conclusion: a drain ends by command only, or when the target moves to another service or data centre.

--- a/poplarstep/configuration/command.py
+++ b/poplarstep/configuration/command.py
@@ -151,3 +151,14 @@
         self.client = client
         self.last_used = last_used
         self.outcome_by_sequence = outcome_by_sequence
+
+
+class Removed(record.Record):
+    r"""Version that removed an object, for the refusal of a late command."""
+
+    __slots__ = ('kind', 'name', 'version')
+
+    def __init__(self, kind: str, name: str, version: int):
+        self.kind = kind
+        self.name = name
+        self.version = version
--- a/poplarstep/configuration/machine.py
+++ b/poplarstep/configuration/machine.py
@@ -25,33 +25,26 @@
 MAXIMUM_SESSIONS = 4096
 # Latest removals that a refusal can name.
 MAXIMUM_REMOVED = 256
+# Targets that went while operators had drained them; a target that returns
+# is drained again.
+MAXIMUM_DRAINED = 4096
 
 PLANNERS = registry.Registry('command')
 
 
-class Removed(record.Record):
-    r"""Version that removed an object, for the refusal of a late command."""
-
-    __slots__ = ('kind', 'name', 'version')
-
-    def __init__(self, kind: str, name: str, version: int):
-        self.kind = kind
-        self.name = name
-        self.version = version
-
-
 class MachineSnapshot(record.Record):
     r"""Everything that the state machine holds."""
 
     __slots__ = (
         'catalogue', 'next_service', 'next_data_centre', 'next_target',
-        'sessions', 'commands', 'removed')
+        'sessions', 'commands', 'removed', 'drained')
 
     def __init__(
             self, catalogue: model.Snapshot, next_service: int,
             next_data_centre: int, next_target: int,
             sessions: tuple[command.Session, ...], commands: int,
-            removed: tuple[Removed, ...] = ()):
+            removed: tuple[command.Removed, ...] = (),
+            drained: tuple[str, ...] = ()):
         self.catalogue = catalogue
         self.next_service = next_service
         self.next_data_centre = next_data_centre
@@ -59,6 +52,7 @@
         self.sessions = sessions
         self.commands = commands
         self.removed = removed
+        self.drained = drained
 
 
 class Machine:
@@ -66,7 +60,8 @@
 
     __slots__ = (
         'catalogue', 'next_service', 'next_data_centre', 'next_target',
-        'session_by_client', 'commands', 'removed_by_name')
+        'session_by_client', 'commands', 'removed_by_name',
+        'drained_names')
 
     def __init__(self):
         self.catalogue = catalogue.Catalogue()
@@ -76,6 +71,8 @@
         self.session_by_client = {}
         self.commands = 0
         self.removed_by_name = {}
+        # A dictionary keeps the order, which the bound needs.
+        self.drained_names = {}
 
 
 def apply_command(machine, entry):
@@ -124,6 +121,7 @@
             for item in machine.session_by_client.values()),
         machine.commands,
         tuple(machine.removed_by_name.values()),
+        tuple(machine.drained_names),
     )
 
 
@@ -140,6 +138,7 @@
     machine.commands = snapshot.commands
     machine.removed_by_name = {
         (item.kind, item.name): item for item in snapshot.removed}
+    machine.drained_names = dict.fromkeys(snapshot.drained)
 
 
 def _session(machine, client):
@@ -198,7 +197,8 @@
         if isinstance(body, model.Removal):
             name = held_by_kind[body.kind][body.number].name
             removed.pop((body.kind, name), None)
-            removed[body.kind, name] = Removed(body.kind, name, version)
+            removed[body.kind, name] = command.Removed(
+                body.kind, name, version)
     while len(removed) > MAXIMUM_REMOVED:
         del removed[next(iter(removed))]
 
@@ -323,6 +323,10 @@
 def _drain_target(machine, entry):
     body = entry.body
     known = machine.catalogue.target_by_name.get(body.name)
+    if known is None and not body.drained and (
+            body.name in machine.drained_names):
+        del machine.drained_names[body.name]
+        return result.Success([])
     if known is None:
         return _absent(machine, 'target', body.name)
     checked = _check_base(entry, known, 'target')
@@ -366,7 +370,7 @@
     if known is not None and _order(announcement) <= _order(known):
         return []
     bodies = []
-    drained = False
+    drained = announcement.name in machine.drained_names
     if known is not None and (
             known.service == service.number
             and known.data_centre == centre.number):
@@ -377,6 +381,7 @@
             bodies.append(model.Removal('target', known.number))
         number = machine.next_target
         machine.next_target += 1
+        machine.drained_names.pop(announcement.name, None)
     bodies.append(model.Target(
         announcement.name, number, service.number, centre.number,
         announcement.agent, announcement.incarnation, announcement.revision,
@@ -392,4 +397,8 @@
         known = machine.catalogue.target_by_name.get(expiry.name)
         if known is not None and known.incarnation == expiry.incarnation:
             bodies.append(model.Removal('target', known.number))
+            if known.drained:
+                machine.drained_names[known.name] = None
+    while len(machine.drained_names) > MAXIMUM_DRAINED:
+        del machine.drained_names[next(iter(machine.drained_names))]
     return result.Success(bodies)
--- a/poplarstep/configuration/tests/test_machine.py
+++ b/poplarstep/configuration/tests/test_machine.py
@@ -403,3 +403,31 @@
     assert not node.apply([model.Change(arriving, old)])
     assert not node.restore(model.Snapshot(arriving, (), (old,), ()))
     assert node.version == held and node.data_centre_out(1)
+
+
+TARGET = model.Announcement(
+    't', 's', 'd', address.Address('10.0.0.3', 1), 1, 1, 1, 1, False)
+EXPIRE = command.ExpireTargets((command.Expiry('t', 1),))
+RETURNS = (
+    # commands while the target is away, whether it returns drained
+    ((), True),
+    ((command.DrainTarget('t', False),), False),
+)
+
+
+@pytest.mark.parametrize('meanwhile, drained', RETURNS)
+def test_drain_outlasts_an_absence(meanwhile, drained):
+    r"""Guards against a drain that ends because the target was silent."""
+    machine = machines.Machine()
+    bodies = (CREATE, command.Announce((TARGET,)), command.DrainTarget(
+        't', True), EXPIRE) + meanwhile
+    for number, body in enumerate(bodies):
+        outcome = machines.apply_command(machine, command.Command(
+            'o', number, machine.catalogue.version, body))
+        assert outcome.status == command.APPLIED
+    machine = reload(machines.take_snapshot(machine))
+    machines.apply_command(machine, command.Command('', 0, 0, command.Announce(
+        (TARGET.replace(incarnation=2),))))
+    returned = machine.catalogue.target_by_name['t']
+    assert returned.drained == drained
+    assert not machine.drained_names
