--- a/standins/callers.py
+++ b/standins/callers.py
@@ -140,7 +140,7 @@
         tally.observe(recorder.REFUSED, began)
         return
     tally.opened += 1
-    whole = True
+    broke_at = None
     for number in range(count):
         payload = b'%x/%d' % (opened.flow_key, number)
         asked_at = clock.now_ms()
@@ -155,18 +155,19 @@
             client.close_flow(opened.flow_key)
             return
         answered = _count(tally, outcome, payload)
-        whole &= answered
+        if not answered and broke_at is None:
+            broke_at = asked_at
         tally.observe(
             recorder.ANSWERED if answered else recorder.FAILED, asked_at,
             clock.now_ms() - asked_at)
         if pause_s:
             gevent.sleep(pause_s)
     client.close_flow(opened.flow_key)
-    if whole:
+    if broke_at is None:
         tally.completed += 1
     else:
         tally.broken += 1
-        tally.observe(recorder.BROKEN, asked_at)
+        tally.observe(recorder.BROKEN, broke_at)
 
 
 def _count(tally, outcome, payload):
