--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -228,8 +228,7 @@
         make_catalogue(100), gathering.Gathering(), lambda now: 0,
         lambda: None)
     polls = [packets.encode(dissemination.Poll(
-        'balancer-%d' % number, 1, 1, (), (dissemination.Position(
-            'balancer-%d' % number, 'balancer', 1, 1, 0),)))
+        'balancer-%d' % number, 'balancer', 1, 1, 1, False, (), ()))
         for number in range(subscribers)]
     source = address.Address('10.0.0.1', 7000)
 
--- a/poplarstep/routing/assembly.py
+++ b/poplarstep/routing/assembly.py
@@ -42,7 +42,7 @@
         settings['upstreams'])
     published = publisher.make_publisher(
         catalogue, subscribed.gathered,
-        lambda now: max(0, subscribed.lease_until - now),
+        lambda now: subscriber.lease_left(subscribed, now),
         lambda: None, publisher.RELAY_HOLD_MS)
     serve_anyway = settings['without-control'] == 'serve'
     balancer = states.make_balancer_state(
