--- a/benchmarks/packets.py
+++ b/benchmarks/packets.py
@@ -84,7 +84,7 @@
 
 def _serve_balancer(targets):
     packets = codec.make_data_path_codec(token.Sealer([KEY]))
-    pipeline, subscribed, _ = assembly.make_pipeline({
+    pipeline, subscribed, balancer = assembly.make_pipeline({
         'node': 'benchmark', 'upstreams': (FABRIC,),
         'without-control': 'refuse', 'selector': 'two-choices-aged',
         'opens-per-second': 1_000_000}, 1, random.Random(1), clock.now_ms())
@@ -96,7 +96,8 @@
         BACK, balancers.make_back_decoder(packets)).unwrap()
     task = tasks.Task(
         'benchmark', pipeline, timer.TimerQueue(),
-        balancers.make_performers(packets, front, back, _NoLinks()))
+        balancers.make_performers(
+            packets, front, back, _NoLinks(), balancer))
     for socket in (front, back):
         gevent.spawn(socket.read_loop, task.post)
     task.run()
--- a/poplarstep/programs/balancer.py
+++ b/poplarstep/programs/balancer.py
@@ -49,7 +49,7 @@
     node.ready = lambda: balancer.confirmed(clock.now_ms())
     return nodes.finish(
         node, pipeline,
-        make_performers(packets, front, back, links),
+        make_performers(packets, front, back, links, balancer),
         links, {'front': front, 'back': back})
 
 
@@ -92,10 +92,19 @@
         '%s is not expected on this socket' % type(item).__name__)
 
 
-def make_performers(packets, front, back, links):
-    r"""Return the functions that carry out a balancer's effects."""
+def make_performers(packets, front, back, links, balancer):
+    r"""Return the functions that carry out a balancer's effects.
+
+    The lease is checked again just before a packet goes to an agent: a
+    process that was paused between the decision and the send forwarded one
+    packet into a data centre that had been taken out meanwhile (R4).
+    """
     def send_packet(item):
-        back.send(item.destination, packets.encode(item.packet))
+        data = packets.encode(item.packet)
+        if balancer.confirmed(clock.now_ms()):
+            back.send(item.destination, data)
+        else:
+            balancer.counters.paused += 1
         return ()
 
     def egress(item):
--- a/poplarstep/programs/tests/test_bad_input.py
+++ b/poplarstep/programs/tests/test_bad_input.py
@@ -10,6 +10,7 @@
 
 from poplarstep.configuration import model
 from poplarstep.core import address
+from poplarstep.core import effect
 from poplarstep.core import record
 from poplarstep.core import timer
 from poplarstep.edge import clock
@@ -122,7 +123,7 @@
         SETTINGS, 3, random.Random(1), clock.now_ms())
     fill(state.catalogue, 3)
     return tasks.Task('b', pipeline, timer.TimerQueue(), (
-        balancer.make_performers(PACKETS, Wire(), Wire(), NOWHERE)))
+        balancer.make_performers(PACKETS, Wire(), Wire(), NOWHERE, state)))
 
 
 def agent_task():
@@ -192,6 +193,22 @@
 )
 
 
+@pytest.mark.parametrize('holds', [True, False])
+def test_no_packet_is_sent_after_a_pause_that_outlasts_the_lease(holds):
+    # A process may be stopped between the decision and the send (R4).
+    sent = []
+    state = types.SimpleNamespace(
+        confirmed=lambda now: holds,
+        counters=types.SimpleNamespace(paused=0))
+    performers = balancer.make_performers(
+        PACKETS, None, types.SimpleNamespace(
+            send=lambda *arguments: sent.append(arguments)), NOWHERE, state)
+    performers[effect.SendPacket](
+        effect.SendPacket(AGENT, packet.Open(1)))
+    assert (len(sent), state.counters.paused) == (
+        (1, 0) if holds else (0, 1))
+
+
 @pytest.mark.parametrize('change', BAD_FIELDS)
 def test_announcement_with_a_wrong_field_is_refused(change):
     # What an agent accepts is replicated to every node.
