--- a/poplarstep/consensus/tests/test_replica.py
+++ b/poplarstep/consensus/tests/test_replica.py
@@ -199,7 +199,7 @@
     ('ready', 'remove', 'control-3', 'not-member'),
     ('changing', 'remove', 'control-2', 'change-in-progress'),
     ('ready', 'grow', 'control-3',
-     "unknown membership action 'grow'; known: add, remove"),
+     "unknown membership action 'grow'; known: add, remove, replace"),
 ])
 def test_membership_change_is_refused(prepare, action, name, reason):
     """Guards against two changes at once and unknown hosts."""
