--- a/poplarstep/requests/admission.py
+++ b/poplarstep/requests/admission.py
@@ -18,6 +18,7 @@
 from poplarstep.core import stage
 from poplarstep.core import timer
 from poplarstep.core import verdict
+from poplarstep.dissemination import message as dissemination
 from poplarstep.flow import packet
 from poplarstep.limits import queue
 from poplarstep.limits import ramp
@@ -99,6 +100,16 @@
     return [event]
 
 
+@ADMISSION.handles(dissemination.CatalogueChanged)
+def catalogue_changed(state, event, now):
+    r"""Start cold again once the own data centre has been taken out."""
+    target = states.own_target(state.agent)
+    if target is not None and (
+            state.agent.catalogue.data_centre_out(target.data_centre)):
+        state.ramp.reset_cold()
+    return [event]
+
+
 @ADMISSION.handles(message.Admit)
 def admit(state, event, now):
     r"""Queue a request or refuse it, then dispatch what fits."""
--- a/scenarios/changes.py
+++ b/scenarios/changes.py
@@ -256,6 +256,14 @@
     system.run(1000)
 
 
+@CHANGES.register('the return of a data centre')
+def data_centre_in(system):
+    r"""Let operators bring the data centre of the first target back."""
+    first = next(iter(system.data_centre_by_name.values()))
+    system.command(command.SetDataCentre(first, False))
+    system.run(1000)
+
+
 @CHANGES.register('answers that are lost for 800 ms')
 def answers_lost(system):
     r"""Cut the way from the agents to the fabric."""
--- a/scenarios/tests/cold_start.feature
+++ b/scenarios/tests/cold_start.feature
@@ -58,3 +58,15 @@
       | the restart of the agent alone  | 2     | 200  |
       | the restart of the agent alone  | 8     | 200  |
       | the restart of target and agent | 8     | 200  |
+
+  Scenario: A target starts cold after the return of its data centre
+    Given a system with 3 balancers
+    And targets with
+      | slots | 4 |
+    And a service dispatch with 3 targets
+    And 24 open flows to dispatch
+    When each flow sends a request every 50 ms for 6000 ms
+    Then the first target is warm
+    When the loss of a data centre happens
+    And the return of a data centre happens
+    Then the first target is cold
--- a/scenarios/tests/test_scenarios.py
+++ b/scenarios/tests/test_scenarios.py
@@ -217,3 +217,9 @@
     for balancer in system.balancer_by_name.values():
         counters = balancer.counters
         assert balancer.next_attempt - 1 <= count * counters.opens
+
+
+@then('the first target is {state}')
+def first_target_is(system, state):
+    first = next(iter(system.admission_by_name.values()))
+    assert first.ramp.is_cold() is {'cold': True, 'warm': False}[state]
