--- a/poplarstep/requests/state.py
+++ b/poplarstep/requests/state.py
@@ -69,7 +69,8 @@
     __slots__ = (
         'opened', 'open_refused', 'dispatched', 'answered', 'resent',
         'refused_not_run', 'refused_may_have_run', 'misrouted', 'failed',
-        'flows_expired', 'answers_dropped', 'duplicate_opens')
+        'flows_expired', 'target_silences', 'answers_dropped',
+        'duplicate_opens')
 
     def __init__(self):
         for name in self.__slots__:
@@ -112,8 +113,8 @@
     __slots__ = (
         'node', 'data_centre', 'agent_address', 'incarnation', 'catalogue',
         'flow_idle_ms', 'answer_bytes_limit', 'target', 'works_from',
-        'cold', 'revision',
-        'leaving', 'next_serial', 'flow_by_serial', 'serial_by_opener',
+        'cold', 'revision', 'leaving', 'silent', 'heard_at', 'next_serial',
+        'flow_by_serial', 'serial_by_opener',
         'cut_by_serial', 'drain_until', 'answer_bytes',
         'answer_size_by_key', 'counters')
 
@@ -132,6 +133,8 @@
         self.cold = True
         self.revision = 0
         self.leaving = False
+        self.silent = False
+        self.heard_at = 0
         self.next_serial = 1
         self.flow_by_serial = collections.OrderedDict()
         self.serial_by_opener = {}
