--- a/poplarstep/consensus/membership.py
+++ b/poplarstep/consensus/membership.py
@@ -90,6 +90,24 @@
     return result.Success(kept)
 
 
+@ACTIONS.register('replace')
+def replace(state, names, now):
+    r"""Return the membership with a learner in place of another host.
+
+    ``names`` holds both names, separated by a space. At most one voter
+    goes, and the learner does not count yet.
+    """
+    name, new_name = names.split(' ')
+    added = add(state, new_name, now)
+    if isinstance(added, result.Failure):
+        return added
+    kept = tuple(
+        member for member in added.unwrap() if member.identity.name != name)
+    if not any(member.voter for member in kept):
+        return result.Failure('last-voter')
+    return result.Success(kept)
+
+
 def _without(state, name):
     return tuple(
         member for member in state.log.members
--- a/poplarstep/consensus/tests/test_replica.py
+++ b/poplarstep/consensus/tests/test_replica.py
@@ -199,7 +199,8 @@
     ('ready', 'remove', 'control-3', 'not-member'),
     ('changing', 'remove', 'control-2', 'change-in-progress'),
     ('ready', 'grow', 'control-3',
-     "unknown membership action 'grow'; known: add, remove"),
+     "unknown membership action 'grow'; known: add, remove, replace"),
+    ('ready', 'replace', 'control-2 control-3', 'not-heard'),
 ])
 def test_membership_change_is_refused(prepare, action, name, reason):
     """Guards against two changes at once and unknown hosts."""
@@ -279,3 +280,18 @@
     """Guards against a message whose annotations do not fit its fields."""
     links = codec.Codec(peer.PEER_MESSAGES)
     assert links.decode(links.encode(item)).unwrap() == item
+
+
+def test_replace_takes_out_one_host_and_adds_a_learner():
+    """Guards against a replacement that counts before it has the log."""
+    state = make()
+    elect(state)
+    acknowledge(state, 1, 4, 2000, 2005)
+    feed(state, peer.Hello(
+        message.HostIdentity('control-3', 'new'),
+        address.Address('127.0.0.4', 1), '', 0, False), 2006)
+    replica.REPLICA.process(state, message.ChangeMembership(
+        2, 'replace', 'control-2 control-3'), 2010)
+    assert [(item.identity.name, item.voter)
+            for item in state.log.members] == [
+        ('control-0', True), ('control-1', True), ('control-3', False)]
--- a/poplarstep/control/hosts.py
+++ b/poplarstep/control/hosts.py
@@ -9,8 +9,6 @@
 force already counts as applied.
 """
 
-from returns import result
-
 from poplarstep.configuration import command
 from poplarstep.consensus import membership
 from poplarstep.consensus import message as consensus
@@ -112,24 +110,6 @@
     return _proposed('replace', '%s %s' % (asked.name, asked.new_name))
 
 
-@membership.ACTIONS.register('replace')
-def replace(state, names, now):
-    r"""Return the membership with a learner in place of another host.
-
-    ``names`` holds both names, separated by a space. At most one voter
-    goes, and the learner does not count yet.
-    """
-    name, new_name = names.split(' ')
-    added = membership.add(state, new_name, now)
-    if isinstance(added, result.Failure):
-        return added
-    kept = tuple(
-        member for member in added.unwrap() if member.identity.name != name)
-    if not any(member.voter for member in kept):
-        return result.Failure('last-voter')
-    return result.Success(kept)
-
-
 def _members(replica, name):
     return [member for member in replica.log.members
             if member.identity.name == name]
