Reserve a loopback network for each test run

Cause: runs of the same tests at the same time on one machine took each other's addresses (5 failures and 3 errors in one run, while another run of the tests was going on).

--- a/poplarstep/edge/tests/test_sockets.py
+++ b/poplarstep/edge/tests/test_sockets.py
@@ -17,8 +17,12 @@
 from poplarstep.edge import link
 from poplarstep.edge import task as tasks
 from poplarstep.edge import wire
+from standins import network
 
-HERE = address.Address('127.37.0.1', 7000)
+# Held until this module's process ends.
+RESERVATION = network.reserve()
+NET = '127.%d' % RESERVATION.__enter__()
+HERE = address.Address(NET + '.0.1', 7000)
 POLL = dissemination.Poll('node', 'agent', 1, 1, 2, False, (), ())
 ENVELOPES = codec.Codec([link.Envelope])
 BODY = wire.make_control_codec().encode(POLL)
@@ -89,7 +93,7 @@
     links = link.Links(HERE, wire.make_control_codec(), 'cluster', None)
     for port in range(1, 6):
         links.send(effect.SendControl(
-            address.Address('127.37.0.2', port), POLL))
+            address.Address(NET + '.0.2', port), POLL))
     assert len(links.peer_by_address) == 3
     assert links.counters.refused_peers == 2
     for peer in list(links.peer_by_address.values()):
@@ -99,7 +103,7 @@
 def test_long_datagrams_are_counted_and_dropped():
     delivered = []
     opened = datagrams.open_datagram_socket(
-        address.Address('127.37.0.3', 0),
+        address.Address(NET + '.0.3', 0),
         lambda source, data: data).unwrap()
     reader = gevent.spawn(opened.read_loop, delivered.extend)
     limit = datagrams.MAXIMUM_DATAGRAM_BYTES
--- a/poplarstep/programs/tests/test_daemon.py
+++ b/poplarstep/programs/tests/test_daemon.py
@@ -9,23 +9,28 @@
 
 import pytest
 
+from standins import network
+
+# Held until this module's process ends.
+RESERVATION = network.reserve()
+NET = '127.%d' % RESERVATION.__enter__()
 DAEMON = [sys.executable, '-m', 'poplarstep.programs.daemon', 'run']
 BALANCER = {
     'role': 'balancer', 'node': 'b', 'data-centre': 'gs-a',
-    'cluster-key': 'key of these tests', 'control-address': '127.36.0.1:7000',
-    'http-address': '127.36.0.1:8000', 'upstreams': '127.36.0.9:7000',
-    'front-address': '127.36.0.1:7100', 'back-address': '127.36.0.1:7200',
+    'cluster-key': 'key of these tests', 'control-address': NET + '.0.1:7000',
+    'http-address': NET + '.0.1:8000', 'upstreams': NET + '.0.9:7000',
+    'front-address': NET + '.0.1:7100', 'back-address': NET + '.0.1:7200',
 }
 AGENT = {
     'role': 'agent', 'node': 'lookups/0', 'data-centre': 'gs-a',
-    'cluster-key': 'key of these tests', 'control-address': '127.36.0.2:7000',
-    'http-address': '127.36.0.2:8000', 'upstreams': '127.36.0.9:7000',
-    'agent-address': '127.36.0.2:7300',
+    'cluster-key': 'key of these tests', 'control-address': NET + '.0.2:7000',
+    'http-address': NET + '.0.2:8000', 'upstreams': NET + '.0.9:7000',
+    'agent-address': NET + '.0.2:7300',
 }
 CONTROL = {
     'role': 'control', 'node': 'c', 'data-centre': 'gs-a',
-    'control-address': '127.36.0.3:7000', 'http-address': '127.36.0.3:8000',
-    'control-hosts': 'c=127.36.0.3:7000', 'start': 'bootstrap',
+    'control-address': NET + '.0.3:7000', 'http-address': NET + '.0.3:8000',
+    'control-hosts': 'c=' + NET + '.0.3:7000', 'start': 'bootstrap',
 }
 # Replaces a handler, as a fault in a stage would.
 FAULTY = '''
@@ -88,11 +93,11 @@
 # Settings, changes to them, the socket that is in use, exit code, texts.
 STARTS = (
     (BALANCER, {}, (socket.SOCK_DGRAM, 'front-address'), 3,
-     ['cannot bind UDP 127.36.0.1:7100: Address already in use']),
+     ['cannot bind UDP %s.0.1:7100: Address already in use' % NET]),
     (BALANCER, {}, (socket.SOCK_STREAM, 'http-address'), 3,
-     ['cannot listen on HTTP address 127.36.0.1:8000']),
+     ['cannot listen on HTTP address %s.0.1:8000' % NET]),
     (AGENT, {}, (socket.SOCK_STREAM, 'control-address'), 3,
-     ['cannot listen on control address 127.36.0.2:7000']),
+     ['cannot listen on control address %s.0.2:7000' % NET]),
     (CONTROL, {'data-folder': '/proc/none/log'}, None, 3,
      ['cannot start', '/proc/none/log']),
     (BALANCER, {'upstreams': 'host:1', 'selector': 'best',
@@ -128,7 +133,7 @@
     header = bytes.fromhex('0d0a0d0a000d0a515549540a2112000c') + (
         bytes([127, 0, 0, 1] * 2) + b'\0\1\0\1')
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
-        sender.sendto(header + b'\x01\x92\xa4Open\x01', ('127.36.0.1', 7100))
+        sender.sendto(header + b'\x01\x92\xa4Open\x01', (NET + '.0.1', 7100))
     code, output = finish(child)
     assert code == 5
     assert 'event=task-failed message=Ingress' in output
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -23,13 +23,15 @@
 class Fabric:
     r"""Sockets of the service addresses and the list of balancers."""
 
-    __slots__ = ('balancers', 'random', 'count_by_balancer', 'sockets')
+    __slots__ = (
+        'balancers', 'random', 'count_by_balancer', 'sockets', 'readers')
 
     def __init__(self, balancers, generator):
         self.balancers = list(balancers)
         self.random = generator
         self.count_by_balancer = {item: 0 for item in balancers}
         self.sockets = []
+        self.readers = []
 
     def serve(self, service):
         r"""Open a service address and start its reader."""
@@ -37,8 +39,15 @@
             service, lambda source, data: (source, data))
         socket = opened.unwrap()
         self.sockets.append(socket)
-        gevent.spawn(socket.read_loop, lambda batch: self._pass_on(
-            service, socket, batch))
+        self.readers.append(gevent.spawn(
+            socket.read_loop,
+            lambda batch: self._pass_on(service, socket, batch)))
+
+    def close(self):
+        r"""Stop the readers and free the service addresses."""
+        gevent.killall(self.readers)
+        for socket in self.sockets:
+            socket.close()
 
     def _pass_on(self, service, socket, batch):
         for source, data in batch:
--- a/standins/tests/test_deployment.py
+++ b/standins/tests/test_deployment.py
@@ -6,6 +6,7 @@
 
 from standins import demo
 from standins import deployment
+from standins import network as networks
 from standins import script
 
 # Two data centres, few targets: the processes start in a few seconds.
@@ -113,28 +114,28 @@
 
 
 CASES = (
-    # Name, network, script, seconds of the samples, checks.
-    ('undisturbed', 31, '', (), (
+    # Name, script, seconds of the samples, checks.
+    ('undisturbed', '', (), (
         none_broken, none_given_up, no_run_repeated)),
-    ('balancer and leader killed', 32, '''
+    ('balancer and leader killed', '''
         0.5 kill balancer-0
         1.0 kill leader
         3.0 restart balancer-0
      ''', (), (none_broken, none_given_up, no_run_repeated)),
-    ('paused balancer', 33, '''
+    ('paused balancer', '''
         0.5 stop balancer-0
         1.0 take data-centre west out
         5.5 continue balancer-0
      ''', ((1.5 + DATA_CENTRE_OUT_MS / 1000, 'bound'), (8.0, 'end')), (
         none_broken, no_packet_after_the_bound, no_run_repeated,
         not_run_is_true)),
-    ('agent and target killed', 34, '''
+    ('agent and target killed', '''
         0.5 kill agent-0
         1.0 kill target-1
         1.5 restart target-1
         2.0 restart agent-0
      ''', (), (no_run_repeated, not_run_is_true, most_flows_complete)),
-    ('graceful stops', 35, '''
+    ('graceful stops', '''
         0.5 terminate balancer-0
         0.7 terminate agent-0
      ''', (), (none_broken, none_given_up, stops_cut_nothing,
@@ -143,10 +144,10 @@
 
 
 @pytest.mark.parametrize(
-    'network, text, samples, checks', [case[1:] for case in CASES],
+    'text, samples, checks', [case[1:] for case in CASES],
     ids=[case[0] for case in CASES])
-def test_promises_hold(tmp_path, network, text, samples, checks):
-    with open(os.devnull, 'wb') as log:
+def test_promises_hold(tmp_path, text, samples, checks):
+    with open(os.devnull, 'wb') as log, networks.reserve() as network:
         demonstration = demo.make_demonstration(
             PLAN, str(tmp_path), log, network)
         run = Run(demonstration)
@@ -163,4 +164,5 @@
             for check in checks:
                 check(run)
         finally:
+            demonstration.fabric.close()
             demonstration.processes.kill_all()
