--- a/poplarstep/requests/state.py
+++ b/poplarstep/requests/state.py
@@ -7,6 +7,10 @@
 from poplarstep.core import verdict as verdicts
 
 
+# A cold target takes this share of its connections, at least one.
+COLD_CONNECTIONS_PERCENT = 25
+
+
 class Phase(enum.IntEnum):
     r"""Where a request stands."""
 
@@ -65,7 +69,8 @@
     __slots__ = (
         'opened', 'open_refused', 'dispatched', 'answered', 'resent',
         'refused_not_run', 'refused_may_have_run', 'misrouted', 'failed',
-        'flows_expired', 'answers_dropped', 'duplicate_opens')
+        'flows_expired', 'target_silences', 'answers_dropped',
+        'duplicate_opens')
 
     def __init__(self):
         for name in self.__slots__:
@@ -95,6 +100,8 @@
     works_from : int or None
         Time before which the target is given no work; None until it has
         announced itself.
+    cold : bool
+        Whether the target has not reached all of its slots since a start.
     flow_by_serial : OrderedDict
         In the order of their last packets.
     cut_by_serial : dict
@@ -106,8 +113,8 @@
     __slots__ = (
         'node', 'data_centre', 'agent_address', 'incarnation', 'catalogue',
         'flow_idle_ms', 'answer_bytes_limit', 'target', 'works_from',
-        'revision',
-        'leaving', 'next_serial', 'flow_by_serial', 'serial_by_opener',
+        'cold', 'revision', 'leaving', 'silent', 'heard_at', 'next_serial',
+        'flow_by_serial', 'serial_by_opener',
         'cut_by_serial', 'drain_until', 'answer_bytes',
         'answer_size_by_key', 'counters')
 
@@ -123,8 +130,11 @@
         self.answer_bytes_limit = answer_bytes_limit
         self.target = None
         self.works_from = None
+        self.cold = True
         self.revision = 0
         self.leaving = False
+        self.silent = False
+        self.heard_at = 0
         self.next_serial = 1
         self.flow_by_serial = collections.OrderedDict()
         self.serial_by_opener = {}
@@ -144,6 +154,14 @@
         flow_idle_ms, answer_bytes_limit)
 
 
+def connections(state):
+    r"""Return the number of flows that the target may hold now."""
+    if not state.cold:
+        return state.target.connections
+    return max(
+        1, state.target.connections * COLD_CONNECTIONS_PERCENT // 100)
+
+
 def works(state, now):
     r"""Return whether the target may be given work by this agent run."""
     return state.target is not None and now >= state.works_from
