Give each run of the link tests its own addresses

Cause: two runs of the tests on one host, in two working trees, used the same loopback addresses; 7 tests ended with 'Address in use'.

Change: the third part of the addresses comes from the process id.

Figures: `python -m pytest poplarstep/edge/tests/test_link.py`: 7 passed in each of two runs at the same time.

Conclusion: test_hosts.py keeps network 45 and still needs a run of its own.

--- a/poplarstep/edge/tests/test_link.py
+++ b/poplarstep/edge/tests/test_link.py
@@ -1,5 +1,7 @@
 """Links whose connection or peer goes silent, on loopback sockets."""
 
+import os
+
 import gevent
 from gevent import server
 from gevent import socket
@@ -13,9 +15,10 @@
 from poplarstep.edge import link
 from poplarstep.edge import wire
 
-SENDER = address.Address('127.46.0.1', 7000)
-FRONT = address.Address('127.46.0.2', 7000)
-RECEIVER = address.Address('127.46.0.3', 7000)
+# Runs of the tests at the same time on one host need other addresses.
+SENDER, FRONT, RECEIVER = [
+    address.Address('127.46.%d.%d' % (os.getpid() % 250, last), 7000)
+    for last in (1, 2, 3)]
 POLL = message.Poll('node', 'agent', 1, 1, 2, False, (), ())
 HANDSHAKE_BYTES = 8
 SILENT_MS = 200
