Forget the targets that left the catalogue in the balancer's selectors

Cause: target numbers are never used again and nothing called forget, so a selector kept a state for every target ever seen. Change: a stage handler drops the states of removed targets and services when the catalogue changes.

--- a/poplarstep/routing/opening.py
+++ b/poplarstep/routing/opening.py
@@ -13,6 +13,7 @@
 from poplarstep.core import record
 from poplarstep.core import stage
 from poplarstep.core import timer
+from poplarstep.dissemination import message as dissemination
 from poplarstep.flow import packet
 from poplarstep.routing import gate
 from poplarstep.routing import state as states
@@ -95,6 +96,27 @@
         state, pending.ingress, pending.service, outcome.packet.reason)
 
 
+@SELECT.handles(dissemination.CatalogueChanged)
+def catalogue_changed(state, event, now):
+    r"""Forget services and targets that the catalogue no longer holds.
+
+    Numbers are never used again, so what was learned of a removed target
+    would only take memory.
+    """
+    catalogue = state.catalogue
+    for service in list(state.selector_by_service):
+        if service not in catalogue.service_by_number:
+            del state.selector_by_service[service]
+            continue
+        selector = state.selector_by_service[service]
+        targets = catalogue.targets_by_service.get(service, {})
+        if len(selector.state_by_number) > len(targets):
+            for number in list(selector.state_by_number):
+                if number not in targets:
+                    selector.forget(number)
+    return []
+
+
 @SELECT.handles(timer.Tick)
 def tick(state, event, now):
     r"""Give up opens that no agent answered."""
--- a/poplarstep/routing/state.py
+++ b/poplarstep/routing/state.py
@@ -43,20 +43,22 @@
         The node's copy of the configuration.
     confirmed : callable
         Takes ``now`` and returns whether the configuration is confirmed.
-    selector_for : callable
-        Takes a service number and returns that service's selector.
+    make_selector : callable
+        Returns a new selector; called once for each service.
     """
 
     __slots__ = (
-        'catalogue', 'confirmed', 'selector_for', 'retry_budget', 'shedder',
-        'pending_by_attempt', 'next_attempt', 'counters',
-        'opens_by_service', 'refused_by_service')
+        'catalogue', 'confirmed', 'make_selector', 'selector_by_service',
+        'retry_budget', 'shedder', 'pending_by_attempt', 'next_attempt',
+        'counters', 'opens_by_service', 'refused_by_service')
 
     def __init__(
-            self, catalogue, confirmed, selector_for, retry_budget, shedder):
+            self, catalogue, confirmed, make_selector, retry_budget,
+            shedder):
         self.catalogue = catalogue
         self.confirmed = confirmed
-        self.selector_for = selector_for
+        self.make_selector = make_selector
+        self.selector_by_service = {}
         self.retry_budget = retry_budget
         self.shedder = shedder
         self.pending_by_attempt = {}
@@ -65,19 +67,17 @@
         self.opens_by_service = {}
         self.refused_by_service = {}
 
+    def selector_for(self, service):
+        r"""Return the selector of a service number."""
+        selector = self.selector_by_service.get(service)
+        if selector is None:
+            selector = self.make_selector()
+            self.selector_by_service[service] = selector
+        return selector
+
 
 def make_balancer_state(
         catalogue, confirmed, make_selector, retry_budget, shedder):
-    r"""Return the state of a balancer with no open pending.
-
-    ``make_selector`` is called once for each service.
-    """
-    selector_by_service = {}
-
-    def selector_for(service):
-        if service not in selector_by_service:
-            selector_by_service[service] = make_selector()
-        return selector_by_service[service]
-
+    r"""Return the state of a balancer with no open pending."""
     return BalancerState(
-        catalogue, confirmed, selector_for, retry_budget, shedder)
+        catalogue, confirmed, make_selector, retry_budget, shedder)
