--- a/scenarios/nodes.py
+++ b/scenarios/nodes.py
@@ -101,7 +101,8 @@
     return published
 
 
-def add_balancer(driver, name, number, incarnation, offset_ms):
+def add_balancer(
+        driver, name, number, incarnation, offset_ms, changes):
     r"""Add a balancer; return its ``BalancerState``."""
     ip = settings.balancer_ip(number)
     front = address.Address(ip, settings.FRONT_PORT)
@@ -109,7 +110,7 @@
     inbox = address.Address(ip, settings.CONTROL_PORT)
     now = driver.now + offset_ms
     pipeline, _, state = balancer_assembly.make_pipeline(
-        settings.for_balancer(name), incarnation,
+        settings.for_balancer(name, **changes), incarnation,
         random.Random(driver.random.random()), now)
 
     def ingress(source, framed, now):
--- a/scenarios/settings.py
+++ b/scenarios/settings.py
@@ -24,12 +24,12 @@
     return '10.2.0.%d' % number
 
 
-def for_balancer(name):
+def for_balancer(name, **changes):
     r"""Return the settings of a balancer."""
     return {
         'node': name, 'upstreams': (CONTROL,),
         'without-control': 'refuse', 'selector': 'two-choices-aged',
-        'opens-per-second': 1000,
+        'opens-per-second': 1000, **changes,
     }
 
 
--- a/scenarios/system.py
+++ b/scenarios/system.py
@@ -26,9 +26,11 @@
     r"""One request of a caller and what the caller was told."""
 
     __slots__ = (
-        'flow_key', 'payload', 'idempotent', 'number', 'outcome', 'told_at')
+        'flow_key', 'payload', 'idempotent', 'asked_at', 'number', 'outcome',
+        'told_at')
 
-    def __init__(self, flow_key, payload, idempotent):
+    def __init__(self, flow_key, payload, idempotent, asked_at):
+        self.asked_at = asked_at
         self.flow_key = flow_key
         self.payload = payload
         self.idempotent = idempotent
@@ -52,7 +54,7 @@
         'target_by_name', 'data_centre_by_name', 'deadline_by_payload',
         'asked', 'asked_by_identity', 'started', 'failed', 'sequence',
         'service_by_flow', 'asks_by_flow', 'home_by_flow', 'incarnation',
-        'agent_settings')
+        'agent_settings', 'balancer_settings')
 
     def __init__(self, driver):
         self.driver = driver
@@ -73,6 +75,7 @@
         self.asks_by_flow = {}
         self.home_by_flow = {}
         self.agent_settings = {}
+        self.balancer_settings = {}
         self.published = nodes.add_publisher(driver)
         self.fabric = fabric.make_fabric(driver, settings.SERVICE_ADDRESSES)
         self.caller = nodes.add_callers(driver, self._tell)
@@ -110,7 +113,8 @@
         self.incarnation += 1
         self.balancer_by_name[name] = nodes.add_balancer(
             self.driver, name, number, self.incarnation,
-            self.driver.random.randint(0, MOST_OFFSET_MS))
+            self.driver.random.randint(0, MOST_OFFSET_MS),
+            self.balancer_settings)
         if self._front(name) not in self.fabric.fronts:
             self.fabric.fronts.append(self._front(name))
 
@@ -164,7 +168,7 @@
         r"""Send a request on an open flow; return its ``Asked``."""
         service = self.service_by_flow[flow_key]
         payload = b'%s|%d' % (service.encode(), len(self.asked))
-        asked = Asked(flow_key, payload, idempotent)
+        asked = Asked(flow_key, payload, idempotent, self.driver.now)
         self.asked.append(asked)
         self.deadline_by_payload[payload] = self.driver.now + deadline_ms
         number = 1 + self.asks_by_flow.get(flow_key, 0)
@@ -254,9 +258,10 @@
             asked.told_at = self.driver.now
 
 
-def make_system(seed, balancers=3, faults=None):
+def make_system(seed, balancers=3, faults=None, **balancer_settings):
     r"""Return a running system without services."""
     system = System(memory.make_driver(seed, faults))
+    system.balancer_settings = balancer_settings
     for number in range(1, balancers + 1):
         system.start_balancer('balancer-%d' % number)
     return system
--- a/scenarios/tests/test_scenarios.py
+++ b/scenarios/tests/test_scenarios.py
@@ -13,6 +13,8 @@
 # Caller to fabric, balancer and agent; only time on a wire may add.
 WAY_HOPS = 3
 REQUESTS = 'each flow sends {kind} request'
+LOW_PRIORITY = 5
+STEP_MS = 100
 KINDS = {'a': False, 'an idempotent': True}
 
 pytest_bdd.scenarios('.')
@@ -50,6 +52,13 @@
     return systems.make_system(SEED, balancers=count)
 
 
+@given('a system with {count:d} balancers that open {rate:d} flows a second '
+       'each', target_fixture='system')
+def make_limited_system(count, rate):
+    return systems.make_system(
+        SEED, balancers=count, **{'opens-per-second': rate})
+
+
 @given('targets with')
 def targets_with(plan, datatable):
     for name, value in datatable:
@@ -63,15 +72,20 @@
 
 
 @given('a service {name} with {count:d} targets')
-def service_with_targets(system, plan, name, count):
+def service_with_targets(system, plan, name, count, priority=0):
     index = len(system.published.machine.catalogue.service_by_name)
-    system.create_service(name, index)
+    system.create_service(name, index, priority)
     for number in range(1, count + 1):
         system.start_target(
             '%s-%d' % (name, number), name, targets.Plan(**plan))
     system.run(2500)
 
 
+@given('a low priority service {name} with {count:d} targets')
+def low_priority_service(system, plan, name, count):
+    service_with_targets(system, plan, name, count, LOW_PRIORITY)
+
+
 @given('{count:d} open flows to {service}')
 def open_flows(system, flows, count, service):
     opened = system.open_flows(service, count)
@@ -109,6 +123,24 @@
         system.run(gap)
 
 
+@when('{rate:d} flows a second to {service} and {others:d} to {other} are '
+      'opened for {duration:d} ms', target_fixture='opened_by_service')
+def flows_are_opened(system, rate, service, others, other, duration):
+    opened = {service: [], other: []}
+    for _ in range(duration // STEP_MS):
+        # The flows of high priority come last, so that order can't help.
+        for name, count in ((other, others), (service, rate)):
+            opened[name] += system.open_flows(
+                name, count * STEP_MS // 1000, deadline_ms=2000)
+        system.run(STEP_MS)
+    return opened
+
+
+@when('the last {count:d} flows fall silent')
+def flows_fall_silent(flows, count):
+    del flows[-count:]
+
+
 @when('{count:d} new flows to {service} send a request')
 def new_flows_ask(system, count, service):
     opened = system.open_flows(service, count)
@@ -223,3 +255,28 @@
 def first_target_is(system, state):
     first = next(iter(system.admission_by_name.values()))
     assert first.ramp.is_cold() is {'cold': True, 'warm': False}[state]
+
+
+@then('at least {share:d}% of the flows to {service} were opened')
+def many_opened(system, opened_by_service, share, service):
+    assert opened_share(system, opened_by_service[service]) >= share
+
+
+@then('at most {share:d}% of the flows to {service} were opened')
+def few_opened(system, opened_by_service, share, service):
+    assert opened_share(system, opened_by_service[service]) <= share
+
+
+def opened_share(system, keys):
+    return 100 * len(system.started.intersection(keys)) / len(keys)
+
+
+@then('at least {share:d}% of the requests of the last {duration:d} ms are '
+      'answered')
+def recent_answered(system, share, duration):
+    recent = [
+        item for item in system.asked
+        if item.asked_at > system.driver.now - duration]
+    answered = [
+        item for item in recent if item.verdict() is verdict.Verdict.RAN]
+    assert 100 * len(answered) / len(recent) >= share
