Check cold targets on real processes

Cause: protection of targets in cold start was proved in memory only. Change: targets of the test deployment fail when they get more than one request at a time within 3 s of their start; one is killed and restarted under load, another's agent is.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -23,21 +23,26 @@
 
 
 class ServicePlan(record.Record):
-    r"""One service; ``service_ms`` is the time of one request."""
+    r"""One service.
+
+    ``service_ms`` is the time of one request; for ``cold_ms`` after its
+    start a target fails when it gets more than one request at a time.
+    """
 
     __slots__ = (
         'name', 'endpoints', 'slots', 'connections', 'priority',
-        'service_ms')
+        'service_ms', 'cold_ms')
 
     def __init__(
             self, name, endpoints, slots, connections, priority,
-            service_ms):
+            service_ms, cold_ms=0):
         self.name = name
         self.endpoints = endpoints
         self.slots = slots
         self.connections = connections
         self.priority = priority
         self.service_ms = service_ms
+        self.cold_ms = cold_ms
 
 
 class Plan(record.Record):
@@ -133,6 +138,7 @@
             '--address', str(self.place(AGENT, index, TARGET_PORT)),
             '--agent', str(self.place(AGENT, index, HTTP_PORT)),
             '--service-ms', str(service.service_ms),
+            '--cold-ms', str(service.cold_ms),
             '--slots', str(service.slots),
             '--connections', str(service.connections),
             '--journal', '%s/runs-%d' % (self.folder, index)]
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -121,18 +121,18 @@
 
     def status(self, place):
         r"""Return the ``/status`` of a node, or None."""
-        try:
-            with urllib.request.urlopen(
-                    'http://%s/status' % place, timeout=2) as reply:
-                return json.load(reply)
-        except (urllib.error.URLError, OSError):
-            return None
+        return _get(place, '/status')
 
     def leader(self):
         r"""Return the name of the control leader, or None."""
         rows = self.run('show control').rows
         return next((row[0] for row in rows if row[2] == 'leader'), None)
 
+    def target_load(self, index):
+        r"""Return the ``/load`` of a stand-in target."""
+        return _get(self.layout.place(
+            deployment.AGENT, index, deployment.TARGET_PORT), '/load')
+
     def runs(self):
         r"""Return ``(key, payload)`` of every run at any target."""
         found = []
@@ -155,6 +155,16 @@
         return True
 
 
+def _get(place, path):
+    r"""Return the JSON of an HTTP resource, or None."""
+    try:
+        with urllib.request.urlopen(
+                'http://%s%s' % (place, path), timeout=2) as reply:
+            return json.load(reply)
+    except (urllib.error.URLError, OSError):
+        return None
+
+
 def make_processes(layout, log):
     r"""Return a deployment without processes."""
     return Processes(layout, log)
--- a/standins/tests/test_deployment.py
+++ b/standins/tests/test_deployment.py
@@ -11,7 +11,7 @@
 
 # Two data centres, few targets: the processes start in a few seconds.
 PLAN = deployment.Plan('test', ('east', 'west'), (
-    deployment.ServicePlan('lookups', 4, 2, 2000, 0, 3.0),))
+    deployment.ServicePlan('lookups', 4, 2, 2000, 0, 3.0, cold_ms=3000),))
 FLOWS = 64
 CONCURRENCY = 32
 REQUESTS = 20
@@ -81,6 +81,16 @@
     assert run.tally().not_run_payloads & ran == set()
 
 
+def cold_targets_bear_it(run):
+    # R3: a target that has just started fails when it gets more than one
+    # request at a time; the restarted ones got some, and no more.
+    loads = [
+        run.demonstration.processes.target_load(index)
+        for index, _ in run.demonstration.layout.target_places()]
+    assert [load['failures'] for load in loads] == [0] * len(loads)
+    assert loads[1]['most_in_flight_cold'] == 1
+
+
 def most_flows_complete(run):
     # One of four agents and one of four targets end once; the flows that
     # broke are theirs.
@@ -134,7 +144,9 @@
         1.0 kill target-1
         1.5 restart target-1
         2.0 restart agent-0
-     ''', (), (no_run_repeated, not_run_is_true, most_flows_complete)),
+     ''', (), (
+        no_run_repeated, not_run_is_true, cold_targets_bear_it,
+        most_flows_complete)),
     ('graceful stops', '''
         0.5 terminate balancer-0
         0.7 terminate agent-0
