--- a/poplarstep/consensus/log.py
+++ b/poplarstep/consensus/log.py
@@ -46,10 +46,12 @@
 
     @property
     def last_index(self):
+        r"""Return the index of the last entry."""
         return self.base_index + len(self.entries)
 
     @property
     def last_term(self):
+        r"""Return the term of the last entry."""
         return self.entries[-1].term if self.entries else self.base_term
 
     @property
@@ -59,6 +61,7 @@
 
     @property
     def members_index(self):
+        r"""Return the index of the entry that set the membership."""
         return self.memberships[-1][0] if self.memberships else 0
 
     def members_at(self, index):
@@ -112,6 +115,7 @@
         return tuple(chosen)
 
     def append(self, entries):
+        r"""Append entries that follow the last one."""
         for entry in entries:
             self.entries.append(entry)
             if entry.kind == message.MEMBERSHIP:
--- a/poplarstep/consensus/model/disk.py
+++ b/poplarstep/consensus/model/disk.py
@@ -25,19 +25,23 @@
 
     @property
     def last_index(self):
+        r"""Return the index of the last entry on the disk."""
         if self.entries:
             return self.entries[-1].index
         return self.snapshot.index if self.snapshot else 0
 
     def write(self, storage_effect):
+        r"""Write without syncing; a crash may lose it."""
         self.unsynced.append(storage_effect)
 
     def sync(self):
+        r"""Make everything written so far durable."""
         for item in self.unsynced:
             APPLY.entry_by_name[type(item).__name__](self, item)
         self.unsynced = []
 
     def crash(self):
+        r"""Lose what was not synced."""
         self.unsynced = []
 
     def holds(self, index, term):
--- a/poplarstep/edge/storage.py
+++ b/poplarstep/edge/storage.py
@@ -72,6 +72,7 @@
 
     @property
     def name(self):
+        r"""Return the file name of the segment."""
         return '%s%020d' % (SEGMENT_PREFIX, self.number)
 
 
@@ -99,6 +100,7 @@
             message.AppendLog, message.TruncateLog])
 
     def path(self, name):
+        r"""Return the path of a file of the folder."""
         return os.path.join(self.folder, name)
 
     def perform(self, storage_effect):
@@ -367,6 +369,7 @@
 
 @WRITERS.register('AppendLog')
 def append_log(storage, appended):
+    r"""Append entries as one frame of the journal."""
     _write_frame(storage, storage.codec.encode(appended))
     segment = storage.segments[-1]
     segment.highest = max(segment.highest, appended.entries[-1].index)
@@ -374,16 +377,19 @@
 
 @WRITERS.register('TruncateLog')
 def truncate_log(storage, truncated):
+    r"""Append the record that entries from an index on are void."""
     _write_frame(storage, storage.codec.encode(truncated))
 
 
 @WRITERS.register('SaveVote')
 def save_vote(storage, vote):
+    r"""Replace the vote file."""
     _replace_file(storage, 'vote', [storage.codec.encode(vote)])
 
 
 @WRITERS.register('SaveSnapshot')
 def save_snapshot(storage, saved):
+    r"""Replace the snapshot and remove segments that it covers."""
     snapshot = saved.snapshot
     head = saved.replace(snapshot=snapshot.replace(state=b''))
     _replace_file(
--- a/poplarstep/edge/tests/test_sockets.py
+++ b/poplarstep/edge/tests/test_sockets.py
@@ -1,3 +1,5 @@
+"""Tests of sockets that receive what nobody should send."""
+
 import socket
 
 import gevent
@@ -61,6 +63,7 @@
 
 @pytest.mark.parametrize('odd, counter', ODD_MESSAGES)
 def test_inbox_counts_odd_messages_and_reads_on(inbox, odd, counter):
+    """Guards against an odd message that goes uncounted or stops the inbox."""
     links, delivered, reader, sender = inbox
     delivered.clear()
     before = getattr(links.counters, counter)
@@ -80,6 +83,7 @@
             + GOOD[pair[0] + 1:]),
     min_size=1, max_size=20))
 def test_no_message_ends_the_reader_of_the_inbox(inbox, batch):
+    """Guards against bytes that raise in the reader of the inbox."""
     links, delivered, reader, sender = inbox
     before = links.counters.received
     for data in batch:
@@ -89,6 +93,7 @@
 
 
 def test_invented_sources_do_not_grow_the_links_without_limit(monkeypatch):
+    """Guards against a sender that makes the process open endless links."""
     monkeypatch.setattr(link, 'MAXIMUM_PEERS', 3)
     links = link.Links(HERE, wire.make_control_codec(), 'cluster', None)
     for port in range(1, 6):
@@ -101,6 +106,7 @@
 
 
 def test_long_datagrams_are_counted_and_dropped():
+    """Guards against oversized datagrams that are decoded."""
     delivered = []
     opened = datagrams.open_datagram_socket(
         address.Address(NET + '.0.3', 0),
--- a/poplarstep/edge/tests/test_target_client.py
+++ b/poplarstep/edge/tests/test_target_client.py
@@ -1,3 +1,5 @@
+"""Tests of the calls from an agent to its target."""
+
 import socket
 import struct
 
--- a/poplarstep/programs/tests/test_bad_input.py
+++ b/poplarstep/programs/tests/test_bad_input.py
@@ -1,3 +1,5 @@
+"""Tests of decoders and pipelines under malformed and hostile input."""
+
 import inspect
 import random
 import types
@@ -179,6 +181,7 @@
 
 @pytest.mark.parametrize('body', REFUSED)
 def test_front_refuses_what_is_not_of_this_protocol(body):
+    """Guards against foreign datagrams that reach the pipeline."""
     decoded = balancer.make_front_decoder(PACKETS)(SOURCE, frame(body))
     assert type(decoded) is result.Failure
 
@@ -219,4 +222,5 @@
 
 @given(body=strategies.binary(max_size=60))
 def test_no_announcement_raises(body):
+    """Guards against an announcement that raises in the HTTP handler."""
     assert isinstance(agent.parse_announcement(body), result.Failure)
--- a/poplarstep/programs/tests/test_daemon.py
+++ b/poplarstep/programs/tests/test_daemon.py
@@ -1,3 +1,5 @@
+"""Tests of the daemon as a process: starts, signals, bad requests."""
+
 import json
 import signal
 import socket
@@ -141,6 +143,7 @@
 
 
 def test_a_second_signal_ends_at_once_and_log_lines_have_keys():
+    """Guards against a stop that hangs, and log lines without their keys."""
     child = start({**BALANCER, 'drain-time': '3600000'})
     request(BALANCER['http-address'], '/healthz')
     child.send_signal(signal.SIGTERM)
@@ -179,6 +182,7 @@
 
 
 def test_bad_requests_leave_a_control_host_running(tmp_path):
+    """Guards against a request that ends the task of a control host."""
     child = start({**CONTROL, 'data-folder': str(tmp_path / 'log')})
     place = CONTROL['http-address']
     try:
--- a/poplarstep/programs/tests/test_operations_page.py
+++ b/poplarstep/programs/tests/test_operations_page.py
@@ -1,3 +1,5 @@
+"""Tests that the operators' page covers the design page."""
+
 import pathlib
 import re
 
--- a/poplarstep/programs/tests/test_settings_page.py
+++ b/poplarstep/programs/tests/test_settings_page.py
@@ -1,3 +1,5 @@
+"""Tests of the settings page and the files of the deployments."""
+
 import pathlib
 
 import pytest
@@ -17,6 +19,7 @@
 
 
 def test_each_role_of_both_deployments_has_a_file():
+    """Guards against a role without a settings file."""
     assert [str(item.relative_to(ROOT / 'deployments')) for item in FILES] \
         == ['%s/%s.env' % (name, role) for name in ('gulfline', 'nile-hood')
             for role in sorted(settings.ROLES)]
--- a/poplarstep/programs/tests/test_tool.py
+++ b/poplarstep/programs/tests/test_tool.py
@@ -1,3 +1,5 @@
+"""Tests of the operators' tool."""
+
 import json
 
 from click import testing
@@ -69,6 +71,7 @@
 
 
 def test_burn_says_that_data_are_missing(monkeypatch, tmp_path):
+    """Guards against a burn rate that is guessed from missing samples."""
     monkeypatch.setattr(survey, 'read_status', lambda place: STATUS)
     history = str(tmp_path / 'history')
     objectives = tmp_path / 'objectives'
--- a/standins/tests/test_deployment.py
+++ b/standins/tests/test_deployment.py
@@ -1,3 +1,5 @@
+"""Tests of the promises on real processes under faults."""
+
 import collections
 import os
 
@@ -159,6 +161,7 @@
     'text, samples, checks', [case[1:] for case in CASES],
     ids=[case[0] for case in CASES])
 def test_promises_hold(tmp_path, text, samples, checks):
+    """Guards against each broken promise that its checks name."""
     with open(os.devnull, 'wb') as log, networks.reserve() as network:
         demonstration = demo.make_demonstration(
             PLAN, str(tmp_path), log, network)
--- a/standins/tests/test_recorder.py
+++ b/standins/tests/test_recorder.py
@@ -1,3 +1,5 @@
+"""Tests of what an experiment counts."""
+
 import pytest
 
 from standins import recorder
@@ -14,10 +16,12 @@
 
 @pytest.mark.parametrize('counts, expected', COUNTS)
 def test_success_counts_what_the_goal_counts(counts, expected):
+    """Guards against a success rate that counts flows given up."""
     assert recorder.success(counts) == expected
 
 
 def test_seconds_start_after_the_warm_up():
+    """Guards against a warm-up that is counted."""
     kept = recorder.Recorder(started=1000)
     kept.observe('certs', recorder.FAILED, 999)
     kept.observe('certs', recorder.ANSWERED, 1000, 5)
