Pause the control leader under load and commands on real processes

Cause: SIGSTOP of a control host was proved only in the schedules. Change: a case that stops the leader, issues a command, resumes every control host and drains a target; the checks want both commands applied, one leader and one version on every node within 4 s, and no broken flow. The command waits for one attempt at the paused host (6 s) before the tool asks the next.

--- a/standins/tests/test_deployment.py
+++ b/standins/tests/test_deployment.py
@@ -6,6 +6,7 @@
 import gevent
 import pytest
 
+from poplarstep.edge import clock
 from standins import demo
 from standins import deployment
 from standins import network as networks
@@ -20,6 +21,9 @@
 PAUSE_S = 0.1
 # R4: from the acceptance of the command to the last packet.
 DATA_CENTRE_OUT_MS = 3000
+# R10: from the last command to the same version on every node.
+IN_FORCE_MS = 4000
+STATUS_PERIOD_S = 0.1
 PACKETS_AT_AGENT = 'front_received'
 
 
@@ -93,6 +97,36 @@
     assert loads[1]['most_in_flight_cold'] == 1
 
 
+def commands_applied(run):
+    # A command that a paused leader swallowed is sent again to the next.
+    outcomes = [event.outcome for event in run.events
+                if event.text.startswith(('create', 'drain'))]
+    assert outcomes == ['applied', 'applied']
+
+
+def one_configuration_everywhere(run):
+    # R10: in force on every node within 4 s, also on the leader that was
+    # paused; it neither leads on nor holds an older version for good.
+    layout = run.demonstration.layout
+    places = [
+        layout.place(kind, index, deployment.HTTP_PORT)
+        for kind, count in ((deployment.CONTROL, layout.controls),
+                            (deployment.BALANCER, layout.balancers),
+                            (deployment.AGENT, len(layout.target_places())))
+        for index in range(count)]
+    deadline = clock.now_ms() + IN_FORCE_MS
+    while True:
+        statuses = [
+            run.demonstration.processes.status(place) for place in places]
+        versions = {status['version'] for status in statuses}
+        leaders = {status['leader'] for status in statuses
+                   if status['role'] == 'control'}
+        if len(versions) == len(leaders) == 1:
+            return
+        assert clock.now_ms() < deadline, (versions, leaders)
+        gevent.sleep(STATUS_PERIOD_S)
+
+
 def most_flows_complete(run):
     # One of four agents and one of four targets end once; the flows that
     # broke are theirs.
@@ -149,6 +183,16 @@
      ''', (), (
         no_run_repeated, not_run_is_true, cold_targets_bear_it,
         most_flows_complete)),
+    ('paused leader', '''
+        0.5 stop leader
+        1.0 create service extra address 10.9.9.9:5000 priority 5
+        8.5 continue control-0
+        8.5 continue control-1
+        8.5 continue control-2
+        9.0 drain target lookups/0
+     ''', (), (
+        none_broken, none_given_up, commands_applied,
+        one_configuration_everywhere, no_run_repeated)),
     ('graceful stops', '''
         0.5 terminate balancer-0
         0.7 terminate agent-0
