Send the time that a request waited beside it, not in it

Cause: shortening the deadline inside the balancer made it encode and seal every request again that had waited 1 ms or more, which under load is each. Change: Forwarded carries waited_ms; the agent subtracts it.

--- a/poplarstep/flow/packet.py
+++ b/poplarstep/flow/packet.py
@@ -225,20 +225,27 @@
         Number of the target that the balancer selected.
     version : int
         Configuration version of the balancer.
+    waited_ms : int
+        Time that the packet waited in the balancer; it counts against the
+        deadline. The packet itself travels unchanged, because encoding it
+        again costs more than all other work on it.
     """
 
     __slots__ = (
-        'path', 'attempt', 'service', 'target', 'version', 'packet')
+        'path', 'attempt', 'service', 'target', 'version', 'packet',
+        'waited_ms')
 
     def __init__(
             self, path: ReturnPath, attempt: int, service: int, target: int,
-            version: int, packet: Open | Request | Cancel | Close):
+            version: int, packet: Open | Request | Cancel | Close,
+            waited_ms: int = 0):
         self.path = path
         self.attempt = attempt
         self.service = service
         self.target = target
         self.version = version
         self.packet = packet
+        self.waited_ms = waited_ms
 
 
 class Load(record.Record):
--- a/poplarstep/requests/verification.py
+++ b/poplarstep/requests/verification.py
@@ -35,7 +35,8 @@
         return refuse_packet(state, forwarded, reason)
     body = forwarded.packet
     if isinstance(body, packet.Request):
-        body = packet.after_wait(body, event.arrived_at, now)
+        body = packet.after_wait(
+            body, event.arrived_at - forwarded.waited_ms, now)
     return [message.VerifiedPacket(forwarded.path, body)]
 
 
--- a/poplarstep/routing/gate.py
+++ b/poplarstep/routing/gate.py
@@ -47,16 +47,15 @@
     if catalogue.data_centre_out(token.data_centre):
         counters.refused_data_centre += 1
         return refuse(event, 'data-centre-out')
-    if type(body) is packet.Request:
-        body = packet.after_wait(body, event.arrived_at, now)
-        if body.deadline_ms <= 0:
-            # The caller has given up; an answer would match nothing.
-            counters.expired += 1
-            return []
+    waited_ms = max(0, now - event.arrived_at)
+    if type(body) is packet.Request and body.deadline_ms <= waited_ms:
+        # The caller has given up; an answer would match nothing.
+        counters.expired += 1
+        return []
     counters.forwarded += 1
     return [effect.SendPacket(token.agent, packet.Forwarded(
         event.path, 0, token.service, token.target, catalogue.version,
-        body))]
+        body, waited_ms))]
 
 
 def refuse(event, reason):
