Refuse a command only when no copy of it can be in a log

Cause: a control host whose log did not take a copy answered 'refused', and the tool ended with exit code 1 although an earlier copy had an unknown outcome and could still be applied. A silent control host also took 6 s of the tool's 10 s. Change: such a host answers 'not-taken'; the tool says 'refused' only when no copy had an unknown outcome, else 'unknown' with the identity for a resend. It probes /healthz for 0.5 s before it sends. Before: replies 'unknown' then 'in-flight-full' gave exit code 1.

--- a/poplarstep/configuration/command.py
+++ b/poplarstep/configuration/command.py
@@ -15,6 +15,9 @@
 APPLIED = 'applied'
 REFUSED = 'refused'
 UNKNOWN = 'unknown'
+# This control host's log did not take this copy of the command. Another copy
+# may be in the log, so it is no refusal of the command itself.
+NOT_TAKEN = 'not-taken'
 
 
 class CreateService(record.Record):
--- a/poplarstep/control/application.py
+++ b/poplarstep/control/application.py
@@ -120,8 +120,8 @@
 
 @APPLY.handles(consensus.ProposalRefused)
 def proposal_refused(state, event, now):
-    r"""Tell the operator that the command is in no log."""
-    return _reply(state, event, command.REFUSED, event.reason)
+    r"""Tell the operator that this copy of the command is in no log."""
+    return _reply(state, event, command.NOT_TAKEN, event.reason)
 
 
 @APPLY.handles(consensus.ProposalUnknown)
--- a/poplarstep/programs/tests/test_tool.py
+++ b/poplarstep/programs/tests/test_tool.py
@@ -12,10 +12,12 @@
 APPLIED = {'status': 'applied', 'version': 4, 'reason': '', 'leader': ''}
 REFUSED = {'status': 'refused', 'version': 4, 'reason': 'stale',
            'leader': ''}
-NOT_LEADER = {'status': 'refused', 'version': 4, 'reason': 'not-leader',
+NOT_LEADER = {'status': 'not-taken', 'version': 4, 'reason': 'not-leader',
               'leader': 'control-1'}
 UNKNOWN = {'status': 'unknown', 'version': 4, 'reason': 'leadership was '
            'lost', 'leader': ''}
+FULL = {'status': 'not-taken', 'version': 4, 'reason': 'in-flight-full',
+        'leader': ''}
 SHOWN = {'columns': ['version'], 'rows': [[4]], 'current': True,
          'leader': 'c', 'version': 4}
 STALE = {**SHOWN, 'current': False}
@@ -34,6 +36,10 @@
     (COMMAND, [NOT_LEADER, None, APPLIED], 0, 'applied'),
     (COMMAND, [{'error': 'not a command'}], 2, 'not a command'),
     (COMMAND, [UNKNOWN], 3, '--client me --sequence 7'),
+    (COMMAND, [NOT_LEADER], 1, 'no control host could take'),
+    (COMMAND, [FULL], 1, 'in-flight-full'),
+    (COMMAND, [UNKNOWN, FULL], 3, '--client me --sequence 7'),
+    (COMMAND, [UNKNOWN, FULL, REFUSED], 1, 'stale'),
     (COMMAND, [None], 4, 'no control host'),
     ('take data-centre', [], 2, 'line 1'),
     ('show version', [SHOWN], 0, '4'),
--- a/poplarstep/programs/tool.py
+++ b/poplarstep/programs/tool.py
@@ -10,6 +10,7 @@
 from returns import result
 import tabulate
 
+from poplarstep.configuration import command
 from poplarstep.core import address
 from poplarstep.language import completion
 from poplarstep.language import parser
@@ -18,7 +19,9 @@
 from poplarstep.programs import survey
 
 ATTEMPT_TIMEOUT_S = 6
+PROBE_TIMEOUT_S = 0.5
 PAUSE_S = 0.1
+NOT_LEADER = 'not-leader'
 EXIT_CODES = """
 \b
 Exit codes:
@@ -82,22 +85,39 @@
         'sequence': sequence,
         'text': statements.format_statement(statement),
     }
-    sent = False
+    seen = set()
     for reply in _attempts(session, '/command', body):
         if reply is None:
             continue
-        sent = True
         if reply.get('error'):
             return answers.failure(answers.EXIT_USAGE, reply['error'])
-        if reply['status'] == 'applied':
+        if reply['status'] == command.APPLIED:
             return _outcome(0, reply)
-        if reply['status'] == 'refused' and reply['reason'] != 'not-leader':
+        if reply['status'] == command.REFUSED:
             return _outcome(answers.EXIT_REFUSED, reply)
-    if not sent:
+        seen.add(reply['status'])
+        if reply.get('reason') != NOT_LEADER and (
+                command.UNKNOWN not in seen):
+            # The leader refuses, and no other copy can be in a log.
+            return _outcome(answers.EXIT_REFUSED, {
+                **reply, 'status': command.REFUSED})
+    if not seen:
         return _unreachable()
+    return _undecided(session, sequence, seen)
+
+
+def _undecided(session, sequence, seen):
+    r"""Return the outcome of a command that no state machine decided.
+
+    It certainly did not run only if no copy can be in a log.
+    """
+    if seen == {command.NOT_TAKEN}:
+        return _outcome(answers.EXIT_REFUSED, {
+            'status': command.REFUSED, 'version': None,
+            'reason': 'no control host could take the command'})
     return _outcome(answers.EXIT_UNKNOWN, {
-        'status': 'unknown', 'version': None, 'client': session.client,
-        'sequence': sequence,
+        'status': command.UNKNOWN, 'version': None,
+        'client': session.client, 'sequence': sequence,
         'reason': 'no control host decided the command in time; resend it '
         'with --client %s --sequence %d' % (session.client, sequence)})
 
@@ -147,12 +167,23 @@
 
 
 def _post(control, path, body):
+    r"""Return a control host's reply, or None if it can't be reached.
+
+    A command that was sent and got no reply counts as unknown.
+    """
+    try:
+        # A paused or cut-off host accepts connections and never answers;
+        # the probe keeps it from taking the time of the others.
+        requests.get('http://%s/healthz' % control, timeout=PROBE_TIMEOUT_S)
+    except requests.RequestException:
+        return None
     try:
-        reply = requests.post(
+        return requests.post(
             'http://%s%s' % (control, path), json=body,
-            timeout=ATTEMPT_TIMEOUT_S)
-        return reply.json()
+            timeout=ATTEMPT_TIMEOUT_S).json()
     except (requests.RequestException, ValueError):
+        if path == '/command':
+            return {'status': command.UNKNOWN}
         return None
 
 
