--- a/poplarstep/reports/tests/test_burn.py
+++ b/poplarstep/reports/tests/test_burn.py
@@ -142,7 +142,7 @@
 
 
 def test_no_requests_burn_nothing():
-    """Guards against a division by zero in a quiet night."""
+    """Guards against a division by zero without requests."""
     samples = [
         entry.replace(total=0, good=0)
         for entry in make_samples('a', range(121))]
--- a/poplarstep/reports/tests/test_output.py
+++ b/poplarstep/reports/tests/test_output.py
@@ -22,7 +22,7 @@
 
 
 def test_table_says_what_is_missing():
-    """Guards against a missing window that looks like a quiet one."""
+    """Guards against missing data that look like data without errors."""
     lines = table.render(REPORTS[-1:]).splitlines()
     assert len(lines) == 5
     assert 'certs' in lines[2] and 'latency 99% under 200ms 30d' in lines[2]
--- a/scenarios/switches.py
+++ b/scenarios/switches.py
@@ -148,10 +148,10 @@
     r"""Take each copy for a new request."""
     original = ownership.PACKETS.handler_by_type[packet.Request]
 
-    def forgetful(context, asked, now):
+    def without_record(context, asked, now):
         context[1].record_by_number.pop(asked.number, None)
         return original(context, asked, now)
-    patch.handle(ownership.PACKETS, packet.Request, forgetful)
+    patch.handle(ownership.PACKETS, packet.Request, without_record)
 
 
 @SWITCHES.register('R7 watermark')
@@ -165,13 +165,13 @@
     r"""Forget a request that was refused as not run."""
     original = admission._refuse
 
-    def forgetful(state, key, decided, reason):
+    def without_refusal(state, key, decided, reason):
         produced = original(state, key, decided, reason)
         flow = state.agent.flow_by_serial.get(key.serial)
         if flow is not None and decided is verdict.Verdict.NOT_RUN:
             flow.record_by_number.pop(key.number, None)
         return produced
-    patch.replace(admission, '_refuse', forgetful)
+    patch.replace(admission, '_refuse', without_refusal)
 
 
 @SWITCHES.register('R6 mark of cancelled requests')
@@ -179,12 +179,12 @@
     r"""Send a cancelled request again that did not run."""
     original = admission._requeue
 
-    def unmarked(state, event, now):
+    def without_mark(state, event, now):
         known = states.request_record(state.agent, event.key)
         if known is not None:
             known.cancelled = False
         return original(state, event, now)
-    patch.replace(admission, '_requeue', unmarked)
+    patch.replace(admission, '_requeue', without_mark)
 
 
 @SWITCHES.register('R5 numbers go on')
@@ -249,10 +249,10 @@
     r"""Let callers wait for silent targets."""
     original = exchange._tick_exchange
 
-    def patient(state, flow, item, now):
+    def without_deadline(state, flow, item, now):
         item.deadline = max(item.deadline, now + 1)
         return original(state, flow, item, now)
-    patch.replace(exchange, '_tick_exchange', patient)
+    patch.replace(exchange, '_tick_exchange', without_deadline)
 
 
 @SWITCHES.register('retry on a new flow')
