Count an agent as ready only when it accepts flows

Cause: an agent refuses flows for 1.5 s after its target's first announcement, but /readyz said 200 and the test deployments began their traffic. All flows then went to the agents that had started first, and the case 'paused balancer' had no flow in the data centre that is taken out. Change: /readyz and /status tell whether flows are accepted; deployments wait for it.

--- a/poplarstep/programs/agent.py
+++ b/poplarstep/programs/agent.py
@@ -44,7 +44,7 @@
     node.exporter.add_values(lambda: _load_rows(admitted))
     node.exporter.add_values(lambda: _service_level_rows(agent, counted))
     node.status = lambda: _status(agent, admitted)
-    node.ready = lambda: states.own_target(agent) is not None
+    node.ready = lambda: _accepting(agent)
     node.leave = lambda: _leave(node, agent)
     _register_announce(node)
     return nodes.finish(
@@ -146,11 +146,18 @@
         lambda: states.unfinished(agent))
 
 
+def _accepting(agent):
+    r"""Return whether the agent accepts new flows."""
+    return states.own_target(agent) is not None and (
+        states.works(agent, clock.now_ms()))
+
+
 def _status(agent, admitted):
     target = states.own_target(agent)
     return {
         'version': agent.catalogue.version,
         'target': target.number if target else None,
+        'accepting': _accepting(agent),
         'flows': len(agent.flow_by_serial),
         'in_flight': len(admitted.in_flight),
         'queued': len(admitted.queue),
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -108,12 +108,17 @@
                     service.name, answer.rows))
 
     def wait_selectable(self, count, timeout_s=30):
-        r"""Wait until this many targets are selectable everywhere."""
+        r"""Wait until this many targets are selectable everywhere.
+
+        It also waits until their agents accept flows: for a while after its
+        start an agent refuses them.
+        """
         deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
             rows = self.run('show targets').rows
             ready = [row for row in rows if row[4] == 'selectable']
-            if len(ready) >= count and self._balancers_ready():
+            if len(ready) >= count and self._balancers_ready() and (
+                    self._agents_accept()):
                 return
             time.sleep(POLL_S)
         raise TimeoutError('%d of %d targets are selectable' % (
@@ -144,6 +149,15 @@
                     for line in journal.read().splitlines())
         return found
 
+    def _agents_accept(self):
+        statuses = [
+            self.status(self.layout.place(
+                deployment.AGENT, index, deployment.HTTP_PORT))
+            for index, _ in self.layout.target_places()]
+        return all(
+            status is not None and status['accepting']
+            for status in statuses)
+
     def _balancers_ready(self):
         version = self.run('show version').rows[0][0]
         for index in range(self.layout.balancers):
