--- a/scenarios/changes.py
+++ b/scenarios/changes.py
@@ -285,15 +285,16 @@
 @CHANGES.register('a balancer without control')
 def balancer_alone(system):
     r"""Cut the first balancer off from control for good."""
-    name = next(iter(system.balancer_by_name))
-    system.driver.cut('control', name)
-    system.driver.cut(name, 'control')
+    _cut_from_control(system, next(iter(system.balancer_by_name)))
 
 
 @CHANGES.register('an agent without control')
 def agent_alone(system):
     r"""Cut the first agent off from control for good."""
-    name = next(iter(system.target_by_name))
+    _cut_from_control(system, next(iter(system.target_by_name)))
+
+
+def _cut_from_control(system, name):
     system.driver.cut('control', name)
     system.driver.cut(name, 'control')
 
