--- a/poplarstep/configuration/__init__.py
+++ b/poplarstep/configuration/__init__.py
@@ -1,3 +1,3 @@
 """Replicated state machine of services, data centres and targets."""
 
-__all__ = ['catalogue', 'command', 'machine', 'model']
+__all__ = ['catalogue', 'command', 'machine', 'model', 'replacement']
--- a/poplarstep/configuration/catalogue.py
+++ b/poplarstep/configuration/catalogue.py
@@ -42,7 +42,8 @@
         'service_by_address', 'former_by_address', 'data_centre_by_number',
         'data_centre_by_name', 'target_by_number', 'target_by_name',
         'targets_by_service', 'selectable_by_service', 'changes',
-        'oldest_base')
+        'oldest_base', 'route_by_number', 'route_by_name',
+        'route_by_address', 'policy')
 
     def __init__(self):
         self.changes = collections.deque()
@@ -60,6 +61,10 @@
         self.target_by_name = {}
         self.targets_by_service = {}
         self.selectable_by_service = {}
+        self.route_by_number = {}
+        self.route_by_name = {}
+        self.route_by_address = {}
+        self.policy = None
         self.changes.clear()
         self.oldest_base = version
 
@@ -104,7 +109,8 @@
             return False
         self._clear(snapshot.version)
         bodies = (
-            snapshot.services + snapshot.data_centres + snapshot.targets)
+            snapshot.services + snapshot.data_centres + snapshot.targets
+            + snapshot.routes + snapshot.policies)
         for body in bodies:
             APPLIERS.entry_by_name[type(body)](self, body)
         for number in self.service_by_number:
@@ -118,6 +124,8 @@
             tuple(self.service_by_number.values()),
             tuple(self.data_centre_by_number.values()),
             tuple(self.target_by_number.values()),
+            tuple(self.route_by_number.values()),
+            (self.policy,) if self.policy else (),
         )
 
     def changes_since(self, version):
@@ -143,7 +151,9 @@
         return (
             len(self.service_by_number)
             + len(self.data_centre_by_number)
-            + len(self.target_by_number))
+            + len(self.target_by_number)
+            + len(self.route_by_number)
+            + (self.policy is not None))
 
     def data_centre_out(self, number):
         r"""Return whether a data centre is out; unknown ones are in."""
@@ -175,7 +185,8 @@
     _drop_service(catalogue, service.number)
     catalogue.service_by_number[service.number] = service
     catalogue.service_by_name[service.name] = service
-    catalogue.service_by_address[service.address] = service
+    if service.address is not None:
+        catalogue.service_by_address[service.address] = service
     for former in service.former_addresses:
         catalogue.former_by_address[former] = service
     return {service.number}
@@ -198,9 +209,26 @@
     return affected | {target.service}
 
 
+@APPLIERS.register(model.Route)
+def _put_route(catalogue, route):
+    _drop_route(catalogue, route.number)
+    catalogue.route_by_number[route.number] = route
+    catalogue.route_by_name[route.name] = route
+    catalogue.route_by_address[route.address] = route
+    return set()
+
+
+@APPLIERS.register(model.Policy)
+def _put_policy(catalogue, policy):
+    catalogue.policy = policy
+    return set()
+
+
 @APPLIERS.register(model.Removal)
 def _remove(catalogue, removal):
-    drop = {'service': _drop_service, 'target': _drop_target}
+    drop = {
+        'service': _drop_service, 'target': _drop_target,
+        'route': _drop_route}
     return drop[removal.kind](catalogue, removal.number)
 
 
@@ -217,6 +245,18 @@
     return {number}
 
 
+def _drop_route(catalogue, number):
+    old = catalogue.route_by_number.pop(number, None)
+    if old is None:
+        return set()
+    # Another route may have taken over the name or the address.
+    if catalogue.route_by_name.get(old.name) is old:
+        del catalogue.route_by_name[old.name]
+    if catalogue.route_by_address.get(old.address) is old:
+        del catalogue.route_by_address[old.address]
+    return set()
+
+
 def _drop_target(catalogue, number):
     old = catalogue.target_by_number.pop(number, None)
     if old is None:
--- a/poplarstep/configuration/command.py
+++ b/poplarstep/configuration/command.py
@@ -18,6 +18,8 @@
 # This control host's log did not take this copy of the command. Another copy
 # may be in the log, so it is no refusal of the command itself.
 NOT_TAKEN = 'not-taken'
+# Base of a command that does not depend on what the operator looked at.
+ANY_VERSION = 2**62
 
 
 class CreateService(record.Record):
@@ -105,6 +107,74 @@
         self.targets = targets
 
 
+class ServiceShare(record.Record):
+    r"""Name and weight of a service that takes new flows of a route."""
+
+    __slots__ = ('service', 'weight')
+
+    def __init__(self, service: str, weight: int):
+        self.service = service
+        self.weight = weight
+
+
+class WantedService(record.Record):
+    r"""A service as a whole configuration states it."""
+
+    __slots__ = ('name', 'cold_per_second')
+
+    def __init__(self, name: str, cold_per_second: float):
+        self.name = name
+        self.cold_per_second = cold_per_second
+
+
+class WantedRoute(record.Record):
+    r"""A route as a whole configuration states it; see ``model.Route``."""
+
+    __slots__ = (
+        'name', 'address', 'idempotent', 'priority', 'timeout_ms',
+        'objective_ms', 'shares')
+
+    def __init__(
+            self, name: str, address: address.Address, idempotent: bool,
+            priority: int, timeout_ms: int, objective_ms: int,
+            shares: tuple[ServiceShare, ...]):
+        self.name = name
+        self.address = address
+        self.idempotent = idempotent
+        self.priority = priority
+        self.timeout_ms = timeout_ms
+        self.objective_ms = objective_ms
+        self.shares = shares
+
+
+class ReplaceConfiguration(record.Record):
+    r"""Replace all routes and services if the revision is the highest.
+
+    Parameters
+    ==========
+
+    revision : int
+        Number that the operator gives to the configuration.
+    flow_idle_ms : int
+        A flow without a packet for this long may be forgotten.
+    document : bytes
+        The configuration in the operator's own form; it is kept and read
+        back unchanged and means nothing to the state machine.
+    """
+
+    __slots__ = ('revision', 'services', 'routes', 'flow_idle_ms', 'document')
+
+    def __init__(
+            self, revision: int, services: tuple[WantedService, ...],
+            routes: tuple[WantedRoute, ...], flow_idle_ms: int,
+            document: bytes):
+        self.revision = revision
+        self.services = services
+        self.routes = routes
+        self.flow_idle_ms = flow_idle_ms
+        self.document = document
+
+
 class Command(record.Record):
     r"""One entry of the replicated log."""
 
@@ -113,7 +183,8 @@
     def __init__(
             self, client: str, sequence: int, based_on: int,
             body: CreateService | ChangeService | RemoveService
-            | SetDataCentre | DrainTarget | Announce | ExpireTargets):
+            | SetDataCentre | DrainTarget | Announce | ExpireTargets
+            | ReplaceConfiguration):
         self.client = client
         self.sequence = sequence
         self.based_on = based_on
--- a/poplarstep/configuration/machine.py
+++ b/poplarstep/configuration/machine.py
@@ -37,14 +37,16 @@
 
     __slots__ = (
         'catalogue', 'next_service', 'next_data_centre', 'next_target',
-        'sessions', 'commands', 'removed', 'drained')
+        'sessions', 'commands', 'removed', 'drained', 'next_route',
+        'document')
 
     def __init__(
             self, catalogue: model.Snapshot, next_service: int,
             next_data_centre: int, next_target: int,
             sessions: tuple[command.Session, ...], commands: int,
             removed: tuple[command.Removed, ...] = (),
-            drained: tuple[str, ...] = ()):
+            drained: tuple[str, ...] = (), next_route: int = 1,
+            document: bytes = b''):
         self.catalogue = catalogue
         self.next_service = next_service
         self.next_data_centre = next_data_centre
@@ -53,15 +55,20 @@
         self.commands = commands
         self.removed = removed
         self.drained = drained
+        self.next_route = next_route
+        self.document = document
 
 
 class Machine:
-    r"""Catalogue, number counters, client sessions and latest removals."""
+    r"""Catalogue, number counters, client sessions and latest removals.
+
+    ``document`` is the whole configuration in the operator's own form.
+    """
 
     __slots__ = (
         'catalogue', 'next_service', 'next_data_centre', 'next_target',
         'session_by_client', 'commands', 'removed_by_name',
-        'drained_names')
+        'drained_names', 'next_route', 'document')
 
     def __init__(self):
         self.catalogue = catalogue.Catalogue()
@@ -73,6 +80,8 @@
         self.removed_by_name = {}
         # A dictionary keeps the order, which the bound needs.
         self.drained_names = {}
+        self.next_route = 1
+        self.document = b''
 
 
 def apply_command(machine, entry):
@@ -122,6 +131,8 @@
         machine.commands,
         tuple(machine.removed_by_name.values()),
         tuple(machine.drained_names),
+        machine.next_route,
+        machine.document,
     )
 
 
@@ -139,6 +150,8 @@
     machine.removed_by_name = {
         (item.kind, item.name): item for item in snapshot.removed}
     machine.drained_names = dict.fromkeys(snapshot.drained)
+    machine.next_route = snapshot.next_route
+    machine.document = snapshot.document
 
 
 def _session(machine, client):
@@ -191,6 +204,7 @@
     held_by_kind = {
         'service': machine.catalogue.service_by_number,
         'target': machine.catalogue.target_by_number,
+        'route': machine.catalogue.route_by_number,
     }
     removed = machine.removed_by_name
     for body in bodies:
--- a/poplarstep/configuration/model.py
+++ b/poplarstep/configuration/model.py
@@ -24,16 +24,21 @@
         Flows of a draining target may go on for this long.
     former_addresses : tuple of Address
         Earlier addresses; established flows may still use them.
+    cold_per_second : float
+        Requests a second that a target in cold start bears.
+
+    A service without an address is reached through routes only.
     """
 
     __slots__ = (
         'name', 'number', 'address', 'priority', 'drain_deadline_ms',
-        'former_addresses', 'changed')
+        'former_addresses', 'changed', 'cold_per_second')
 
     def __init__(
-            self, name: str, number: int, address: address.Address,
+            self, name: str, number: int, address: address.Address | None,
             priority: int, drain_deadline_ms: int,
-            former_addresses: tuple[address.Address, ...], changed: int):
+            former_addresses: tuple[address.Address, ...], changed: int,
+            cold_per_second: float = 0.0):
         self.name = name
         self.number = number
         self.address = address
@@ -41,6 +46,74 @@
         self.drain_deadline_ms = drain_deadline_ms
         self.former_addresses = former_addresses
         self.changed = changed
+        self.cold_per_second = cold_per_second
+
+
+class Share(record.Record):
+    r"""Part of a route's new flows that goes to one service."""
+
+    __slots__ = ('service', 'weight')
+
+    def __init__(self, service: int, weight: int):
+        self.service = service
+        self.weight = weight
+
+
+class Route(record.Record):
+    r"""An address and port whose flows go to one or several services.
+
+    Parameters
+    ==========
+
+    idempotent : bool
+        Whether a request of these flows may run more than once.
+    priority : int
+        0 is the highest; it is served first when targets are busy.
+    timeout_ms : int
+        After this time a caller gives a request up.
+    objective_ms : int
+        An answer that takes longer counts as late.
+    shares : tuple of Share
+        Services that take new flows, with their weights.
+    """
+
+    __slots__ = (
+        'name', 'number', 'address', 'idempotent', 'priority', 'timeout_ms',
+        'objective_ms', 'shares', 'changed')
+
+    def __init__(
+            self, name: str, number: int, address: address.Address,
+            idempotent: bool, priority: int, timeout_ms: int,
+            objective_ms: int, shares: tuple[Share, ...], changed: int):
+        self.name = name
+        self.number = number
+        self.address = address
+        self.idempotent = idempotent
+        self.priority = priority
+        self.timeout_ms = timeout_ms
+        self.objective_ms = objective_ms
+        self.shares = shares
+        self.changed = changed
+
+
+class Policy(record.Record):
+    r"""What holds for all routes.
+
+    Parameters
+    ==========
+
+    revision : int
+        Number that operators gave to the whole configuration.
+    flow_idle_ms : int
+        A flow without a packet for this long may be forgotten.
+    """
+
+    __slots__ = ('revision', 'flow_idle_ms', 'changed')
+
+    def __init__(self, revision: int, flow_idle_ms: int, changed: int):
+        self.revision = revision
+        self.flow_idle_ms = flow_idle_ms
+        self.changed = changed
 
 
 class DataCentre(record.Record):
@@ -125,7 +198,7 @@
 
 
 class Removal(record.Record):
-    r"""An object was removed; ``kind`` is ``service`` or ``target``."""
+    r"""An object was removed: a ``service``, ``target`` or ``route``."""
 
     __slots__ = ('kind', 'number')
 
@@ -141,7 +214,7 @@
 
     def __init__(
             self, version: int,
-            body: Service | DataCentre | Target | Removal):
+            body: Service | DataCentre | Target | Removal | Route | Policy):
         self.version = version
         self.body = body
 
@@ -149,13 +222,18 @@
 class Snapshot(record.Record):
     r"""All objects of one version."""
 
-    __slots__ = ('version', 'services', 'data_centres', 'targets')
+    __slots__ = (
+        'version', 'services', 'data_centres', 'targets', 'routes',
+        'policies')
 
     def __init__(
             self, version: int, services: tuple[Service, ...],
             data_centres: tuple[DataCentre, ...],
-            targets: tuple[Target, ...]):
+            targets: tuple[Target, ...], routes: tuple[Route, ...] = (),
+            policies: tuple[Policy, ...] = ()):
         self.version = version
         self.services = services
         self.data_centres = data_centres
         self.targets = targets
+        self.routes = routes
+        self.policies = policies
--- a/poplarstep/configuration/tests/test_codec.py
+++ b/poplarstep/configuration/tests/test_codec.py
@@ -22,6 +22,7 @@
     int: strategies.integers(0, 2**63 - 1),
     str: strategies.text(max_size=8),
     bytes: strategies.binary(max_size=8),
+    float: strategies.floats(allow_nan=False),
     type(None): strategies.none(),
     address.Address: strategies.binary(min_size=6, max_size=6).map(
         address.from_bytes),
--- a/poplarstep/consensus/bootstrap.py
+++ b/poplarstep/consensus/bootstrap.py
@@ -4,14 +4,17 @@
 ===========
 
 Each host creates its disk identity with its data folder. A host without a
-leader says ``Hello`` to all configured hosts. The first configured host
-founds the group, once, when it has heard every configured host within two
-seconds and all of them, by disk identity, were started to bootstrap and
-belong to no group. The founding membership is synced first; the others
-receive it as founders in the answer to their next ``Hello`` and adopt it
-only if it names their own disk identity. A host with a wiped disk has
-another identity, so it is no founder, and as long as one founder still has
-its disk, that founder answers with its group and no second one is formed.
+leader says ``Hello`` to all configured hosts and to the members that their
+answers name, so that it reaches a leader which is not configured here. The
+first configured host founds the group, once, when it has heard every
+configured host within two seconds and all of them, by disk identity, were
+started to bootstrap and belong to no group. Hosts are matched by address,
+because a seed's name may be unknown to the others. The founding membership
+is synced first; the others receive it as founders in the answer to their
+next ``Hello`` and adopt it only if it names their own disk identity. A host
+with a wiped disk has another identity, so it is no founder, and as long as
+one founder still has its disk, that founder answers with its group and no
+second one is formed.
 """
 
 from poplarstep.consensus import handlers
@@ -32,20 +35,29 @@
     hello = peer.Hello(
         state.identity, state.inbox, state.group, state.term,
         state.bootstrap)
-    for seed in state.seeds:
-        if seed.name != state.identity.name:
-            effects.extend(states.send(seed.address, hello))
+    for inbox in hello_inboxes(state):
+        effects.extend(states.send(inbox, hello))
     return effects
 
 
+def hello_inboxes(state):
+    r"""Return the inboxes of the seeds and of all members known here."""
+    inboxes = dict.fromkeys(seed.address for seed in state.seeds)
+    inboxes.update(dict.fromkeys(state.learned_inboxes))
+    inboxes.update(dict.fromkeys(
+        member.address for member in state.log.members))
+    inboxes.pop(state.inbox, None)
+    return tuple(inboxes)
+
+
 def found(state, now):
     r"""Form the group if this is the first host and all agree."""
     if state.group or state.group_exists or not state.bootstrap or (
-            state.seeds[0].name != state.identity.name):
+            not state.seeds or state.seeds[0].address != state.inbox):
         return []
     members = []
     for seed in state.seeds:
-        identity = founder(state, seed.name, now)
+        identity = founder(state, seed.address, now)
         if identity is None:
             return []
         members.append(message.Member(identity, seed.address, True))
@@ -53,15 +65,16 @@
     return adopt(state, group, tuple(members), now)
 
 
-def founder(state, name, now):
+def founder(state, inbox, now):
     r"""Return the identity of a host that is ready to found, or None."""
-    if name == state.identity.name:
+    if inbox == state.inbox:
         return state.identity
-    applicant = state.applicant_by_name.get(name)
-    ready = (
-        applicant is not None and applicant.bootstrap
-        and not applicant.group and now - applicant.heard_at <= FRESH_MS)
-    return applicant.identity if ready else None
+    for applicant in state.applicant_by_name.values():
+        if applicant.address == inbox and applicant.bootstrap and (
+                not applicant.group
+                and now - applicant.heard_at <= FRESH_MS):
+            return applicant.identity
+    return None
 
 
 def adopt(state, group, members, now):
@@ -83,7 +96,8 @@
     if hello.group not in ('', state.group) and state.group:
         state.counters.foreign_messages += 1
         return
-    if any(seed.name == hello.sender.name for seed in state.seeds) or (
+    if hello.sender.name in state.applicant_by_name or any(
+            seed.address == hello.inbox for seed in state.seeds) or (
             len(state.applicant_by_name) < MAXIMUM_APPLICANTS):
         state.applicant_by_name[hello.sender.name] = states.Applicant(
             hello.sender, hello.inbox, hello.group, hello.bootstrap, now)
@@ -102,7 +116,8 @@
     founders = held.members if held and held.index == 0 else ()
     return states.send(received.message.inbox, peer.HelloReply(
         state.identity, state.inbox, state.group, state.term,
-        state.bootstrap, founders))
+        state.bootstrap, founders,
+        tuple(member.address for member in state.log.members)))
 
 
 @handlers.PEERS.handles(peer.HelloReply)
@@ -110,6 +125,8 @@
     r"""Adopt the group if its founders include this disk identity."""
     reply = received.message
     note(state, reply, now)
+    if reply.members:
+        state.learned_inboxes = reply.members[:MAXIMUM_APPLICANTS]
     if state.group or not reply.group or not state.bootstrap:
         return []
     if all(member.identity != state.identity for member in reply.founders):
--- a/poplarstep/consensus/peer.py
+++ b/poplarstep/consensus/peer.py
@@ -187,22 +187,26 @@
     r"""Answer to ``Hello``.
 
     ``founders`` is the first membership of the group while the sender's
-    snapshot still holds it, otherwise empty.
+    snapshot still holds it, otherwise empty. ``members`` are the inboxes of
+    the present members; one of them leads.
     """
 
     __slots__ = (
-        'sender', 'inbox', 'group', 'term', 'bootstrap', 'founders')
+        'sender', 'inbox', 'group', 'term', 'bootstrap', 'founders',
+        'members')
 
     def __init__(
             self, sender: message.HostIdentity, inbox: address.Address,
             group: str, term: int, bootstrap: bool,
-            founders: tuple[message.Member, ...]):
+            founders: tuple[message.Member, ...],
+            members: tuple[address.Address, ...] = ()):
         self.sender = sender
         self.inbox = inbox
         self.group = group
         self.term = term
         self.bootstrap = bootstrap
         self.founders = founders
+        self.members = members
 
 
 # Classes for the codec of the links between control hosts.
--- a/poplarstep/consensus/replica.py
+++ b/poplarstep/consensus/replica.py
@@ -24,6 +24,7 @@
 from poplarstep.consensus import replication
 from poplarstep.consensus import snapshot  # noqa: F401
 from poplarstep.consensus import state as states
+from poplarstep.consensus import upkeep
 from poplarstep.core import timer
 
 TICK = timer.Tick('consensus')
@@ -54,5 +55,7 @@
         return effects
     if state.role == states.LEADER:
         effects.extend(replication.lead(state, now))
-        return effects + membership.promote(state, now)
+        return (
+            effects + membership.promote(state, now)
+            + upkeep.tick(state, now))
     return effects + election.tick(state, now)
--- a/poplarstep/consensus/state.py
+++ b/poplarstep/consensus/state.py
@@ -136,7 +136,8 @@
         'commit_index', 'applied_index', 'term_start_index', 'leader_since',
         'stored_index', 'progress_by_identity', 'heartbeat_due',
         'lease_until', 'key_by_index', 'applicant_by_name', 'hello_due',
-        'group_exists', 'incoming', 'storage_ready', 'probe_due', 'marked')
+        'group_exists', 'incoming', 'storage_ready', 'probe_due', 'marked',
+        'learned_inboxes', 'automatic_membership', 'upkeep_due')
 
     @property
     def group(self):
@@ -163,7 +164,7 @@
 def make_replica(
         identity, inbox, seeds, bootstrap, generator, now, term=0,
         voted_for=None, snapshot=None, entries=(), mechanisms=None,
-        kept_entries=log.KEPT_ENTRIES):
+        kept_entries=log.KEPT_ENTRIES, automatic_membership=False):
     r"""Return the state of a replica, fresh or from what storage loaded.
 
     Parameters
@@ -185,6 +186,9 @@
         700 ms, because a vote or heartbeat of the previous run may count.
     term, voted_for, snapshot, entries
         What storage loaded; the defaults are those of an empty folder.
+    automatic_membership : bool
+        The leader adds hosts that ask to join and removes lost ones; no
+        operator is needed.
     """
     state = ReplicaState()
     state.mechanisms = mechanisms or Mechanisms()
@@ -200,7 +204,8 @@
     state.voted_for = voted_for
     state.commit_index = state.applied_index = state.log.base_index
     state.vote_after = now + ELECTION_MINIMUM_MS
-    state.hello_due = state.probe_due = now
+    state.hello_due = state.probe_due = state.upkeep_due = now
+    state.automatic_membership = automatic_membership
     _set_defaults(state)
     restart_election_timer(state, now)
     state.mark()
@@ -209,6 +214,7 @@
 
 def _set_defaults(state):
     state.applicant_by_name = {}
+    state.learned_inboxes = ()
     state.group_exists = False
     state.incoming = None
     state.storage_ready = True
--- a/poplarstep/control/application.py
+++ b/poplarstep/control/application.py
@@ -10,6 +10,7 @@
 
 from poplarstep.configuration import command
 from poplarstep.configuration import machine as machines
+from poplarstep.configuration import replacement  # noqa: F401
 from poplarstep.consensus import message as consensus
 from poplarstep.control import message
 from poplarstep.core import effect
@@ -82,7 +83,7 @@
     version = state.machine.catalogue.version
     if version != before:
         messages.append(dissemination.CatalogueChanged(version))
-    if entry.client:
+    if entry.client or entry.based_on == command.ANY_VERSION:
         messages.append(effect.LogChange('command-applied', (
             ('client', entry.client),
             ('sequence', entry.sequence),
--- a/poplarstep/control/intake.py
+++ b/poplarstep/control/intake.py
@@ -94,6 +94,13 @@
         translator(event.statement))))]
 
 
+@INTAKE.handles(message.Order)
+def order(state, event, now):
+    r"""Propose a command that needs no identity."""
+    return [consensus.Propose(event.key, state.encode(command.Command(
+        '', 0, command.ANY_VERSION, event.body)))]
+
+
 @INTAKE.handles(timer.Tick)
 def tick(state, event, now):
     r"""Propose what the catalogue lacks and what it should drop."""
--- a/poplarstep/control/message.py
+++ b/poplarstep/control/message.py
@@ -20,6 +20,45 @@
         self.statement = statement
 
 
+class Order(record.Record):
+    r"""A command that has the same effect however often it is applied.
+
+    It needs no identity: ``body`` is a command of the state machine that
+    names the state it wants.
+    """
+
+    __slots__ = ('key', 'body')
+
+    def __init__(self, key: int, body):
+        self.key = key
+        self.body = body
+
+
+class ReadConfiguration(record.Record):
+    r"""A read of the whole configuration in the operator's own form."""
+
+    __slots__ = ('key',)
+
+    def __init__(self, key: int):
+        self.key = key
+
+
+class ConfigurationReply(record.Record):
+    r"""Effect: tell the operator the whole configuration.
+
+    ``current`` says whether this host leads under its lease; otherwise the
+    document may be older than what was acknowledged. ``document`` is empty
+    before the first configuration.
+    """
+
+    __slots__ = ('key', 'document', 'current')
+
+    def __init__(self, key: int, document: bytes, current: bool):
+        self.key = key
+        self.document = document
+        self.current = current
+
+
 class OperatorQuery(record.Record):
     r"""A statement that only reads."""
 
--- a/poplarstep/control/query.py
+++ b/poplarstep/control/query.py
@@ -62,6 +62,13 @@
         state.leader_name(), state.machine.catalogue.version)]
 
 
+@QUERY.handles(message.ReadConfiguration)
+def read_configuration(state, event, now):
+    r"""Answer with the document that is in force."""
+    return [message.ConfigurationReply(
+        event.key, state.machine.document, state.current(now))]
+
+
 @ANSWERS.handles(statement.ShowVersion)
 def show_version(state, asked, now):
     r"""Answer ``show version``."""
@@ -237,6 +244,23 @@
         'agent %s' % target.agent, '%d slots' % target.slots] + flags)
 
 
+@DESCRIPTIONS.register(model.Route)
+def _describe_route(state, route, version):
+    names = state.machine.catalogue.service_by_number
+    return 'route', route.name, 'address %s, priority %d, %s' % (
+        route.address, route.priority, ', '.join(
+            '%s weight %d' % (
+                names[share.service].name if share.service in names
+                else share.service, share.weight)
+            for share in route.shares))
+
+
+@DESCRIPTIONS.register(model.Policy)
+def _describe_policy(state, policy, version):
+    return 'policy', 'revision %d' % policy.revision, (
+        'flow idle time %d ms' % policy.flow_idle_ms)
+
+
 @DESCRIPTIONS.register(model.Removal)
 def _describe_removal(state, removal, version):
     names = [
--- a/poplarstep/dissemination/message.py
+++ b/poplarstep/dissemination/message.py
@@ -95,22 +95,27 @@
         sending of the poll; 0 when the publisher can't confirm it.
     leader : Address or None
         Inbox of the control leader, when known.
+    upstreams : tuple of Address
+        Inboxes of the present control hosts; empty when unknown.
     """
 
     __slots__ = (
-        'sequence', 'version', 'changes', 'snapshot', 'lease_ms', 'leader')
+        'sequence', 'version', 'changes', 'snapshot', 'lease_ms', 'leader',
+        'upstreams')
 
     def __init__(
             self, sequence: int, version: int,
             changes: tuple[model.Change, ...],
             snapshot: model.Snapshot | None, lease_ms: int,
-            leader: address.Address | None):
+            leader: address.Address | None,
+            upstreams: tuple[address.Address, ...] = ()):
         self.sequence = sequence
         self.version = version
         self.changes = changes
         self.snapshot = snapshot
         self.lease_ms = lease_ms
         self.leader = leader
+        self.upstreams = upstreams
 
 
 class CatalogueChanged(record.Record):
--- a/poplarstep/dissemination/publisher.py
+++ b/poplarstep/dissemination/publisher.py
@@ -64,13 +64,18 @@
         Returns the inbox of the control leader, or None.
     hold_ms : int
         A poll is answered after this time if nothing happens.
+    upstreams : callable
+        Returns the inboxes of the present control hosts.
     """
 
     __slots__ = (
         'catalogue', 'gathered', 'lease_left', 'leader', 'hold_ms',
-        'waiting_by_node', 'refused', 'snapshots', 'updates')
+        'waiting_by_node', 'refused', 'snapshots', 'updates', 'upstreams')
 
-    def __init__(self, catalogue, gathered, lease_left, leader, hold_ms):
+    def __init__(
+            self, catalogue, gathered, lease_left, leader, hold_ms,
+            upstreams):
+        self.upstreams = upstreams
         self.hold_ms = hold_ms
         self.catalogue = catalogue
         self.gathered = gathered
@@ -83,9 +88,11 @@
 
 
 def make_publisher(
-        catalogue, gathered, lease_left, leader, hold_ms=HOLD_MS):
+        catalogue, gathered, lease_left, leader, hold_ms=HOLD_MS,
+        upstreams=tuple):
     r"""Return the state of a publisher that holds no polls."""
-    return PublisherState(catalogue, gathered, lease_left, leader, hold_ms)
+    return PublisherState(
+        catalogue, gathered, lease_left, leader, hold_ms, upstreams)
 
 
 @PUBLISHER.handles(effect.Received)
@@ -192,4 +199,4 @@
     lease = max(0, min(LEASE_MS, state.lease_left(now)))
     return effect.SendControl(waiting.source, message.Update(
         poll.sequence, state.catalogue.version, changes, snapshot, lease,
-        state.leader()))
+        state.leader(), state.upstreams()))
--- a/poplarstep/dissemination/route.py
+++ b/poplarstep/dissemination/route.py
@@ -41,10 +41,13 @@
 class SeedRoute:
     r"""Upstreams that are tried in turn, from one that the name chooses."""
 
-    __slots__ = ('seeds', 'current', 'leader', 'leader_until', 'switches')
+    __slots__ = (
+        'configured', 'seeds', 'current', 'leader', 'leader_until',
+        'switches')
 
     def __init__(self, node, seeds):
-        self.seeds = tuple(seeds)
+        self.configured = tuple(seeds)
+        self.seeds = self.configured
         self.current = spread(node, 0, len(self.seeds))
         self.leader = None
         self.leader_until = 0
@@ -57,6 +60,18 @@
         self.leader = None
         return self.seeds[self.current]
 
+    def learn(self, upstreams):
+        r"""Try the present control hosts first, then the configured seeds.
+
+        Hosts may have been replaced since the settings were written.
+        """
+        if not upstreams:
+            return
+        present = self.seeds[self.current]
+        self.seeds = tuple(dict.fromkeys(
+            tuple(upstreams) + self.configured + (present,)))
+        self.current = self.seeds.index(present)
+
     def failed(self):
         r"""Turn to the next upstream."""
         self.leader = None
@@ -94,6 +109,9 @@
         r"""Return the inbox of the leader, or None."""
         return self.leader()
 
+    def learn(self, upstreams):
+        r"""Do nothing; the replicated log holds the members."""
+
     def failed(self):
         r"""Count a missing answer; the replicated log finds a leader."""
         self.switches += 1
--- a/poplarstep/dissemination/subscriber.py
+++ b/poplarstep/dissemination/subscriber.py
@@ -152,6 +152,7 @@
         return []
     state.waiting = False
     gathering.reported(state.gathered, state.reporting)
+    state.route.learn(update.upstreams)
     changed = _take_in(state, update)
     _judge_upstream(state, event.source, update, now)
     messages = _lease_change(state, now)
--- /dev/null
+++ b/poplarstep/edge/plain_format.py
@@ -0,0 +1,89 @@
+r"""The project's own packet format of opaque flows.
+
+Explanation
+===========
+
+A datagram is a flow key (12 bytes), one byte of flags and the data. Another
+front end brings its own functions in a ``PacketFormat``; the stages see
+``Segment`` only.
+"""
+
+from returns import result
+
+from poplarstep.steering import segment as segments
+
+OPENING = 1
+CLOSING = 2
+RESET = 4
+RETURNED = 8
+HEAD_BYTES = segments.KEY_BYTES + 1
+
+
+class PacketFormat:
+    r"""Functions of a packet front end.
+
+    Parameters
+    ==========
+
+    decode_caller : callable
+        Takes a datagram of a caller; returns a ``Segment`` or ``Failure``.
+    decode_target : callable
+        The same for a datagram of a target.
+    make_reset : callable
+        Takes a flow key and returns the datagram that refuses the flow.
+    caller_place : callable
+        Takes a flow key and returns the address to which datagrams for the
+        caller are sent.
+    """
+
+    __slots__ = (
+        'decode_caller', 'decode_target', 'make_reset', 'caller_place')
+
+    def __init__(
+            self, decode_caller, decode_target, make_reset, caller_place):
+        self.decode_caller = decode_caller
+        self.decode_target = decode_target
+        self.make_reset = make_reset
+        self.caller_place = caller_place
+
+
+def decode(datagram):
+    r"""Return the ``Segment`` of a datagram, or ``Failure(reason)``.
+
+    Examples
+    ========
+
+    >>> decode(encode(bytes(12), OPENING)).opening
+    True
+    >>> decode(b'short').failure()
+    'datagram of 5 bytes has no head'
+
+    """
+    if len(datagram) < HEAD_BYTES:
+        return result.Failure(
+            'datagram of %d bytes has no head' % len(datagram))
+    flags = datagram[segments.KEY_BYTES]
+    returned = bool(flags & RETURNED)
+    flow = datagram[:segments.KEY_BYTES]
+    data = datagram[HEAD_BYTES:]
+    if returned:
+        datagram = encode(flow, flags & ~RETURNED, data)
+    return segments.Segment(
+        flow, bool(flags & OPENING), bool(flags & CLOSING),
+        bool(flags & RESET), returned, len(data), datagram)
+
+
+def encode(flow, flags, data=b''):
+    r"""Return the datagram of a packet."""
+    return flow + bytes([flags]) + data
+
+
+def make_reset(flow):
+    r"""Return the datagram that refuses a flow."""
+    return encode(flow, RESET)
+
+
+def make_format():
+    r"""Return the project's own ``PacketFormat``."""
+    return PacketFormat(
+        decode, decode, make_reset, segments.caller_of)
--- a/poplarstep/edge/web.py
+++ b/poplarstep/edge/web.py
@@ -1,5 +1,6 @@
 r"""HTTP server of a process: probes, metrics and registered routes."""
 
+import functools
 import json
 import re
 import socket
@@ -16,6 +17,7 @@
 LENGTH_PATTERN = re.compile('[0-9]{1,15}')
 STATUS_BY_CODE = {
     200: '200 OK',
+    307: '307 Temporary Redirect',
     400: '400 Bad Request',
     404: '404 Not Found',
     413: '413 Content Too Large',
@@ -26,24 +28,28 @@
 class Reply:
     r"""Status code, content type and body of an HTTP answer."""
 
-    __slots__ = ('code', 'content_type', 'body')
+    __slots__ = ('code', 'content_type', 'body', 'headers')
 
-    def __init__(self, code, body, content_type='application/json'):
+    def __init__(
+            self, code, body, content_type='application/json', headers=()):
         self.code = code
         self.content_type = content_type
         self.body = body
+        self.headers = headers
 
 
 class Routes:
     r"""Registry of handlers by method and path.
 
-    A handler takes the body as bytes and returns a ``Reply``.
+    A handler takes the body as bytes and returns a ``Reply``. The handler
+    of a prefix takes the rest of the path first.
     """
 
-    __slots__ = ('handler_by_route',)
+    __slots__ = ('handler_by_route', 'handler_by_prefix')
 
     def __init__(self):
         self.handler_by_route = {}
+        self.handler_by_prefix = {}
 
     def route(self, method, path):
         r"""Return a decorator that registers a handler."""
@@ -52,14 +58,34 @@
             return handler
         return decorate
 
+    def prefix(self, method, path):
+        r"""Return a decorator that registers the handler of a prefix.
+
+        ``path`` ends with a slash; one more element of the path follows.
+        """
+        def decorate(handler):
+            self.handler_by_prefix[method, path] = handler
+            return handler
+        return decorate
+
+    def find(self, method, path):
+        r"""Return the handler of a request, or None."""
+        handler = self.handler_by_route.get((method, path))
+        if handler is not None:
+            return handler
+        start, slash, rest = path.rpartition('/')
+        by_rest = self.handler_by_prefix.get((method, start + slash))
+        if by_rest is None or not rest:
+            return None
+        return functools.partial(by_rest, rest)
+
     def __call__(self, environ, start_response):
-        handler = self.handler_by_route.get(
-            (environ['REQUEST_METHOD'], environ['PATH_INFO']))
+        handler = self.find(environ['REQUEST_METHOD'], environ['PATH_INFO'])
         reply = _run(handler, environ)
         start_response(
             STATUS_BY_CODE[reply.code],
             [('Content-Type', reply.content_type),
-             ('Content-Length', str(len(reply.body)))])
+             ('Content-Length', str(len(reply.body))), *reply.headers])
         return [reply.body]
 
 
--- a/poplarstep/edge/wire.py
+++ b/poplarstep/edge/wire.py
@@ -5,6 +5,7 @@
 from poplarstep.consensus import peer
 from poplarstep.dissemination import message as dissemination
 from poplarstep.edge import codec
+from poplarstep.steering import message as steering
 
 
 def make_control_codec():
@@ -13,6 +14,11 @@
         (dissemination.Poll, dissemination.Update) + peer.PEER_MESSAGES)
 
 
+def make_flow_codec():
+    r"""Return the codec of the messages about opaque flows."""
+    return codec.Codec(steering.TO_AGENT + steering.TO_BALANCER)
+
+
 def make_command_codec():
     r"""Return the codec of the log's commands and of snapshots."""
     return codec.Codec([command.Command, machine.MachineSnapshot])
--- a/poplarstep/programs/control.py
+++ b/poplarstep/programs/control.py
@@ -1,10 +1,7 @@
 r"""Builds a control host: storage, replica, state machine and publisher."""
 
-import itertools
 import typing
 
-import gevent
-from gevent import event as gevent_event
 import msgspec
 from returns import result
 
@@ -29,6 +26,7 @@
 from poplarstep.language import parser
 from poplarstep.language import statement as statements
 from poplarstep.programs import node as nodes
+from poplarstep.programs import waiters
 
 # An operator's request that the log has not decided by then is answered
 # "unknown"; the tool asks again under the same identity.
@@ -50,38 +48,16 @@
     text: str
 
 
-class Waiters:
-    r"""Operators' requests that wait for an answer, by key."""
+def build(settings, register_front_end=None):
+    r"""Return ``Success(Node)`` of a running control host or ``Failure``.
 
-    __slots__ = ('result_by_key', 'keys')
+    Parameters
+    ==========
 
-    def __init__(self):
-        self.result_by_key = {}
-        self.keys = itertools.count(1)
-
-    def ask(self, task, make_message):
-        r"""Post a message with a new key; return its answer or None."""
-        key = next(self.keys)
-        waiting = gevent_event.AsyncResult()
-        self.result_by_key[key] = waiting
-        task.post([make_message(key)])
-        try:
-            return waiting.get(
-                timeout=OPERATOR_TIMEOUT_MS / clock.MILLISECONDS_PER_SECOND)
-        except gevent.Timeout:
-            return None
-        finally:
-            del self.result_by_key[key]
-
-    def reply(self, item):
-        r"""Carry out ``CommandReply`` and ``QueryReply``."""
-        waiting = self.result_by_key.get(item.key)
-        if waiting is not None:
-            waiting.set(item)
-
-
-def build(settings):
-    r"""Return ``Success(Node)`` of a running control host or ``Failure``."""
+    register_front_end : callable or None
+        Takes the node, its ``Waiters`` and a function that returns the
+        leader's inbox; adds the operator interface of another front end.
+    """
     opened = storages.open_folder(settings['data-folder'])
     if isinstance(opened, result.Failure):
         return opened
@@ -94,7 +70,7 @@
     links = links.unwrap()
     replica = make_replica(settings, storage.loaded)
     pipeline, machine, gathered = make_pipeline(settings, replica)
-    waiters = Waiters()
+    waiting = waiters.Waiters()
     node.timers.subscribe(
         replicas.TICK.name, replicas.TICK_MS, clock.now_ms())
     nodes.subscribe(node, intake, subscriber, publisher)
@@ -109,9 +85,11 @@
     node.status = lambda: _status(replica, machine)
     node.ready = lambda: replica.leader is not None
     node.closers.append(storage.close)
-    _register_operator_routes(node, waiters)
+    _register_operator_routes(node, waiting)
+    if register_front_end is not None:
+        register_front_end(node, waiting, lambda: leader_inbox(replica))
     finished = nodes.finish(
-        node, pipeline, make_performers(storage, links, waiters), links, {})
+        node, pipeline, make_performers(storage, links, waiting), links, {})
     if not isinstance(finished, result.Failure):
         node.task.post(replicas.start(replica))
     return finished
@@ -124,7 +102,8 @@
         settings['control-address'], settings['control-hosts'],
         settings['start'] == 'bootstrap', consensus_states.make_random(),
         clock.now_ms(), loaded.term, loaded.voted_for, loaded.snapshot,
-        loaded.entries)
+        loaded.entries,
+        automatic_membership=settings['membership'] == 'automatic')
 
 
 def make_pipeline(settings, replica):
@@ -150,7 +129,9 @@
         machine.catalogue, gathered,
         lambda now: publisher.LEASE_MS if current(now)
         else subscriber.lease_left(followed, now),
-        lambda: leader_inbox(replica))
+        lambda: leader_inbox(replica),
+        upstreams=lambda: tuple(
+            member.address for member in replica.log.members))
     pipeline = stage.Pipeline([
         (query.QUERY, query.make_query_state(
             machine, gathered, current,
@@ -196,7 +177,7 @@
     return rows
 
 
-def make_performers(storage, links, waiters):
+def make_performers(storage, links, waiting):
     r"""Return the functions that carry out a control host's effects."""
     def store(item):
         stored = storage.perform(item)
@@ -212,13 +193,14 @@
         consensus.LeadershipChanged: lambda item: (),
         consensus.LeaseExtended: lambda item: (),
         effect.SendControl: links.send,
-        message.CommandReply: waiters.reply,
-        message.QueryReply: waiters.reply,
+        message.CommandReply: waiting.reply,
+        message.QueryReply: waiting.reply,
+        message.ConfigurationReply: waiting.reply,
     })
     return performers
 
 
-def _register_operator_routes(node, waiters):
+def _register_operator_routes(node, waiting):
     @node.routes.route('POST', '/command')
     def command_page(body):
         asked = msgspec.json.decode(body, type=CommandBody)
@@ -228,8 +210,9 @@
         statement = parsed.unwrap()
         if not statements.is_command(statement):
             return web.json_reply({'error': 'not a command'}, 400)
-        reply = waiters.ask(node.task, lambda key: message.OperatorCommand(
-            key, asked.client, asked.sequence, statement))
+        reply = waiting.ask(node.task, lambda key: message.OperatorCommand(
+            key, asked.client, asked.sequence, statement),
+            OPERATOR_TIMEOUT_MS)
         if reply is None:
             return web.json_reply({
                 'status': 'unknown', 'version': 0, 'leader': '',
@@ -250,8 +233,8 @@
             return web.json_reply({
                 'error': 'a control host does not answer this statement'
             }, 400)
-        reply = waiters.ask(node.task, lambda key: message.OperatorQuery(
-            key, parsed.unwrap()))
+        reply = waiting.ask(node.task, lambda key: message.OperatorQuery(
+            key, parsed.unwrap()), OPERATOR_TIMEOUT_MS)
         if reply is None:
             return web.json_reply({'error': 'no answer in time'}, 503)
         return web.json_reply({
--- a/poplarstep/programs/daemon.py
+++ b/poplarstep/programs/daemon.py
@@ -1,36 +1,30 @@
 r"""``poplarstepd``: runs one node."""
 
 import os
-import signal
 import sys
 
-from absl import logging
 import click
-import gevent
-from gevent import event as gevent_event
 from returns import result
 
 import poplarstep
 from poplarstep.core import registry
-from poplarstep.edge import clock
-from poplarstep.edge import logs
 from poplarstep.programs import agent
 from poplarstep.programs import balancer
 from poplarstep.programs import control
-from poplarstep.programs import node as nodes
+from poplarstep.programs import flow_agent
+from poplarstep.programs import flow_balancer
+from poplarstep.programs import serving
 from poplarstep.programs import settings
 from poplarstep.programs import settings_page
 
 EXIT_BAD_SETTINGS = 2
-EXIT_CANNOT_START = 3
-EXIT_CUT = 4
-EXIT_FAILED = 5
-LEAVE_CHECK_S = 0.05
 
 BUILDERS = registry.Registry('role')
 BUILDERS.register('control')(control.build)
 BUILDERS.register('balancer')(balancer.build)
 BUILDERS.register('agent')(agent.build)
+BUILDERS.register('flow-balancer')(flow_balancer.build)
+BUILDERS.register('flow-agent')(flow_agent.build)
 
 
 def _with_settings(function):
@@ -79,14 +73,7 @@
 def run(**flags):
     r"""Run one node until SIGTERM."""
     read = _read(flags)
-    formatter = logs.configure(read)
-    built = BUILDERS.entry_by_name[read['role']](read)
-    if isinstance(built, result.Failure):
-        click.echo('cannot start: %s' % built.failure(), err=True)
-        sys.exit(EXIT_CANNOT_START)
-    node = built.unwrap()
-    formatter.version = lambda: node.status()['version']
-    _serve(node)
+    serving.serve(read, BUILDERS.entry_by_name[read['role']])
 
 
 def _read(flags):
@@ -100,49 +87,5 @@
     return read.unwrap()
 
 
-def _serve(node):
-    r"""Wait for SIGTERM, then drain; a second SIGTERM ends at once."""
-    logging.info('node-started data_centre=%s',
-                 node.settings['data-centre'])
-    asked = gevent_event.Event()
-    asked_again = gevent_event.Event()
-
-    def on_signal():
-        (asked_again if asked.is_set() else asked).set()
-
-    gevent.signal_handler(signal.SIGTERM, on_signal)
-    gevent.signal_handler(signal.SIGINT, on_signal)
-    gevent.wait([asked, node.failed], count=1)
-    if node.failed.is_set():
-        _fail(node)
-    cut = _drain(node, asked_again)
-    nodes.close(node)
-    logging.info('node-stopped requests_cut=%d at_once=%s', cut,
-                 'yes' if asked_again.is_set() else 'no')
-    sys.exit(EXIT_CUT if cut else 0)
-
-
-def _fail(node):
-    r"""End a process of which a part has ended; nothing can be drained."""
-    logging.error('node-failed exit_code=%d', EXIT_FAILED)
-    logging.flush()
-    os._exit(EXIT_FAILED)
-
-
-def _drain(node, asked_again):
-    r"""Return the number of requests that were cut."""
-    logging.info('node-draining drain_time_ms=%d',
-                 node.settings['drain-time'])
-    node.ready = lambda: False
-    drain = node.leave()
-    deadline = clock.now_ms() + node.settings['drain-time']
-    while clock.now_ms() < deadline and not drain.idle():
-        if asked_again.wait(LEAVE_CHECK_S):
-            break
-        if node.failed.is_set():
-            _fail(node)
-    return drain.unfinished()
-
-
 if __name__ == '__main__':
     main()
--- /dev/null
+++ b/poplarstep/programs/flow_balancer.py
@@ -0,0 +1,100 @@
+r"""Builds a balancer of opaque flows for a packet front end."""
+
+import random
+
+from returns import result
+
+from poplarstep.core import address
+from poplarstep.core import effect
+from poplarstep.dissemination import subscriber
+from poplarstep.edge import clock
+from poplarstep.edge import datagrams
+from poplarstep.edge import plain_format
+from poplarstep.edge import wire
+from poplarstep.programs import node as nodes
+from poplarstep.steering import assembly
+from poplarstep.steering import message
+
+
+def build(settings, packet_format=None, register_front_end=None):
+    r"""Return ``Success(Node)`` of a running balancer or ``Failure``.
+
+    Parameters
+    ==========
+
+    packet_format : PacketFormat or None
+        How callers' datagrams are read; the project's own by default.
+    register_front_end : callable or None
+        Takes the node; adds the interface of another front end.
+    """
+    packet_format = packet_format or plain_format.make_format()
+    node = nodes.make_node(settings)
+    flow_codec = wire.make_flow_codec()
+    links = nodes.open_links(node)
+    front = datagrams.open_datagram_socket(
+        settings['front-address'], make_front_decoder(packet_format))
+    back = datagrams.open_datagram_socket(
+        settings['back-address'],
+        make_node_decoder(flow_codec, message.TO_BALANCER))
+    for opened in (links, front, back):
+        if isinstance(opened, result.Failure):
+            return opened
+    front, back, links = front.unwrap(), back.unwrap(), links.unwrap()
+    pipeline, subscribed, steering = assembly.make_balancer(
+        settings, nodes.new_incarnation(), random.Random(), clock.now_ms())
+    nodes.subscribe(node, *assembly.BALANCER_TICKING)
+    node.exporter.add_counters('steering', steering.counters)
+    node.exporter.add_values(lambda: [
+        ('steering_flows', {}, len(steering.tracked_by_flow))])
+    node.status = lambda: {
+        'version': subscribed.catalogue.version,
+        'confirmed': subscriber.lease_holds(subscribed, clock.now_ms()),
+        'flows': len(steering.tracked_by_flow),
+    }
+    node.ready = lambda: steering.confirmed(clock.now_ms())
+    # The fabric may go on sending for a while after readiness ended.
+    node.leave = lambda: nodes.Drain(lambda: False, lambda: 0)
+    if register_front_end is not None:
+        register_front_end(node)
+    return nodes.finish(
+        node, pipeline,
+        make_performers(packet_format, flow_codec, front, back, links),
+        links, {'front': front, 'back': back})
+
+
+def make_front_decoder(packet_format):
+    r"""Return the decoder of callers' datagrams."""
+    def decode(source, data):
+        segment = packet_format.decode_caller(data)
+        if type(segment) is result.Failure:
+            return segment
+        return message.FromCaller(segment)
+    return decode
+
+
+def make_node_decoder(flow_codec, expected):
+    r"""Return the decoder of messages about flows from other nodes."""
+    def decode(source, data):
+        item = flow_codec.read(data)
+        if type(item) is result.Failure:
+            return item
+        if type(item) not in expected:
+            return result.Failure(
+                '%s is not expected on this socket' % type(item).__name__)
+        return message.FromNode(address.Address(*source), item)
+    return decode
+
+
+def make_performers(packet_format, flow_codec, front, back, links):
+    r"""Return the functions that carry out a balancer's effects."""
+    def reset_flow(item):
+        front.send(
+            packet_format.caller_place(item.flow),
+            packet_format.make_reset(item.flow))
+
+    return {
+        effect.SendControl: links.send,
+        message.ToNode: lambda item: back.send(
+            item.destination, flow_codec.encode(item.message)),
+        message.ResetFlow: reset_flow,
+    }
--- a/poplarstep/programs/settings.py
+++ b/poplarstep/programs/settings.py
@@ -17,13 +17,18 @@
 from poplarstep.core import record
 from poplarstep.core import registry
 from poplarstep.routing import selectors
+from poplarstep.steering import placement
 
 PREFIX = 'POPLARSTEP_'
-ROLES = ('control', 'balancer', 'agent')
+ROLES = ('control', 'balancer', 'agent', 'flow-balancer', 'flow-agent')
 ALL = ROLES
+SUBSCRIBERS = ('balancer', 'agent', 'flow-balancer', 'flow-agent')
+BALANCERS = ('balancer', 'flow-balancer')
+AGENTS = ('agent', 'flow-agent')
 NAME_PATTERN = re.compile(r'[A-Za-z0-9][A-Za-z0-9./-]{0,99}')
 # int() accepts digits of other scripts and rejects very long numbers.
 NUMBER_PATTERN = re.compile('[0-9]{1,15}')
+DECIMAL_PATTERN = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 MINIMUM_KEY_BYTES = 16
 
 KINDS = registry.Registry('kind of setting')
@@ -85,11 +90,11 @@
             'inbox for control messages'),
     Setting('http-address', 'address', None, '', (), ALL,
             'probes, metrics and the operators\' or the target\'s requests'),
-    Setting('upstreams', 'addresses', None, '', (), ('balancer', 'agent'),
+    Setting('upstreams', 'addresses', None, '', (), SUBSCRIBERS,
             'inboxes of control hosts or relays, tried in turn'),
-    Setting('front-address', 'address', None, '', (), ('balancer',),
+    Setting('front-address', 'address', None, '', (), BALANCERS,
             'UDP address at which the fabric reaches this balancer'),
-    Setting('back-address', 'address', None, '', (), ('balancer',),
+    Setting('back-address', 'address', None, '', (), BALANCERS,
             'UDP address at which agents answer this balancer'),
     Setting('selector', 'word', selectors.DEFAULT_SELECTOR, '',
             tuple(selectors.SELECTORS.names()), ('balancer',),
@@ -98,9 +103,12 @@
             (1, 1_000_000), ('balancer',),
             'new flows above this rate are shed, lowest priority first'),
     Setting('without-control', 'word', 'refuse', '', ('refuse', 'serve'),
-            ('balancer',),
+            BALANCERS,
             'what to do when the configuration is not confirmed'),
-    Setting('agent-address', 'address', None, '', (), ('agent',),
+    Setting('placement', 'word', placement.DEFAULT_PLACEMENT, '',
+            tuple(placement.PLACEMENTS.names()), ('flow-balancer',),
+            'how a target is chosen for an opaque flow'),
+    Setting('agent-address', 'address', None, '', (), AGENTS,
             'UDP address at which balancers reach this agent'),
     Setting('flow-idle', 'number', '3600000', 'ms',
             (1000, 86_400_000), ('agent',),
@@ -112,6 +120,23 @@
             ('agent',), 'requests that may wait at this agent'),
     Setting('late-after', 'number', '50', 'ms', (1, 3_600_000),
             ('agent',), 'an answer that takes longer counts as late'),
+    Setting('target-address', 'address', None, '', (), ('flow-agent',),
+            'UDP address of the target beside this agent'),
+    Setting('outbound-address', 'address', None, '', (), ('flow-agent',),
+            'UDP address to which the target sends its packets'),
+    Setting('target-fresh', 'number', '1900', 'ms', (100, 3_600_000),
+            ('flow-agent',),
+            'a target that is silent for longer gets no new flows'),
+    Setting('flow-limit', 'number', '3600000', 'ms', (1000, 86_400_000),
+            ('flow-agent',), 'no flow is older than this'),
+    Setting('cold-factor', 'decimal', '1', '', (0, 1000), ('flow-agent',),
+            'multiplies the requests a second that a cold target bears'),
+    Setting('cold-slack', 'decimal', '1', '1/s', (0, 1_000_000),
+            ('flow-agent',),
+            'requests a second that a cold target gets on top of that'),
+    Setting('membership', 'word', 'operator', '',
+            ('operator', 'automatic'), ('control',),
+            'who adds and removes control hosts'),
     Setting('data-folder', 'text', None, '', (), ('control',),
             'folder of the replicated log'),
     Setting('control-hosts', 'seeds', None, '', (), ('control',),
@@ -216,6 +241,16 @@
     return result.Success(int(text))
 
 
+@KINDS.register('decimal')
+def _decimal(setting, text):
+    lowest, highest = setting.allowed
+    if not DECIMAL_PATTERN.fullmatch(text) or not (
+            lowest <= float(text) <= highest):
+        return result.Failure('%r is not a number from %d to %d %s' % (
+            text, lowest, highest, setting.unit))
+    return result.Success(float(text))
+
+
 @KINDS.register('address')
 def _address(setting, text):
     return address.parse(text)
--- a/poplarstep/programs/settings_page.py
+++ b/poplarstep/programs/settings_page.py
@@ -19,9 +19,10 @@
 """
 KIND_TEXTS = {
     'word': 'one of the words', 'name': 'name of 1 to 100 letters, digits, '
-    '`.`, `-`, `/`', 'number': 'whole number', 'address': '`IP:PORT`',
-    'addresses': '`IP:PORT`, comma separated', 'keys': 'keys of 16 to 64 '
-    'bytes, comma separated', 'seeds': '`NAME=IP:PORT`, comma separated',
+    '`.`, `-`, `/`', 'number': 'whole number', 'decimal': 'number',
+    'address': '`IP:PORT`', 'addresses': '`IP:PORT`, comma separated',
+    'keys': 'keys of 16 to 64 bytes, comma separated',
+    'seeds': '`NAME=IP:PORT`, comma separated',
     'text': 'text'}
 
 
--- /dev/null
+++ b/poplarstep/steering/__init__.py
@@ -0,0 +1,3 @@
+"""Opaque flows: packets that only the two ends of a flow can read."""
+
+__all__ = ['agent', 'balancer', 'message', 'placement', 'segment']
--- /dev/null
+++ b/poplarstep/steering/assembly.py
@@ -0,0 +1,60 @@
+r"""Builds the pipelines that serve opaque flows, for every front end."""
+
+from poplarstep.configuration import catalogue as catalogues
+from poplarstep.core import stage
+from poplarstep.dissemination import publisher
+from poplarstep.dissemination import subscriber
+from poplarstep.steering import agent as agents
+from poplarstep.steering import balancer as balancers
+from poplarstep.steering import placement
+
+# Modules whose ticks the front end subscribes to.
+BALANCER_TICKING = (subscriber, publisher, balancers)
+AGENT_TICKING = (subscriber, agents)
+
+
+def make_balancer(settings, incarnation, generator, now):
+    r"""Return ``(Pipeline, SubscriberState, SteeringState)``.
+
+    Parameters
+    ==========
+
+    settings : mapping
+        Typed settings by name.
+    generator : random.Random
+        Source of random numbers of the placement.
+    """
+    catalogue = catalogues.Catalogue()
+    subscribed = subscriber.make_subscriber(
+        settings['node'], 'balancer', incarnation, catalogue,
+        settings['upstreams'])
+    published = publisher.make_publisher(
+        catalogue, subscribed.gathered,
+        lambda now: subscriber.lease_left(subscribed, now),
+        lambda: None, publisher.RELAY_HOLD_MS)
+    serve_anyway = settings['without-control'] == 'serve'
+    steering = balancers.make_steering(
+        catalogue,
+        lambda now: catalogue.policy is not None and (
+            serve_anyway or subscriber.lease_holds(subscribed, now)),
+        placement.make_placement(settings['placement'], generator),
+        generator)
+    return stage.Pipeline([
+        (subscriber.SUBSCRIBER, subscribed),
+        (publisher.PUBLISHER, published),
+        (balancers.STEER, steering),
+    ]), subscribed, steering
+
+
+def make_agent(settings, incarnation, now):
+    r"""Return ``(Pipeline, SubscriberState, HoldState)``."""
+    catalogue = catalogues.Catalogue()
+    subscribed = subscriber.make_subscriber(
+        settings['node'], 'agent', incarnation, catalogue,
+        settings['upstreams'])
+    held = agents.make_hold(settings, catalogue, incarnation, now)
+    return stage.Pipeline([
+        (agents.PRESENCE, held),
+        (subscriber.SUBSCRIBER, subscribed),
+        (agents.HOLD, held),
+    ]), subscribed, held
--- /dev/null
+++ b/poplarstep/steering/segment.py
@@ -0,0 +1,85 @@
+r"""Packets of flows whose content belongs to the two ends alone.
+
+Explanation
+===========
+
+A packet front end decodes what the decisions need and keeps the datagram as
+it came. A flow is known by its two ends, written as 12 bytes: the caller's
+address and port and the service's address and port. Both directions of a
+flow have the same key.
+"""
+
+from poplarstep.core import address
+
+KEY_BYTES = 12
+END_BYTES = 6
+
+
+class Segment:
+    r"""One packet of a flow.
+
+    Parameters
+    ==========
+
+    flow : bytes
+        Key of the flow, see ``flow_key``.
+    opening : bool
+        Asks to open the flow.
+    closing : bool
+        The sender will send no more data.
+    reset : bool
+        The sender has given the flow up.
+    returned : bool
+        A target returned it unread: it does not hold the flow, or can't
+        take a new one.
+    data_bytes : int
+        Length of the data that it carries.
+    datagram : bytes
+        The packet as it is to be sent on.
+    """
+
+    __slots__ = (
+        'flow', 'opening', 'closing', 'reset', 'returned', 'data_bytes',
+        'datagram')
+
+    def __init__(
+            self, flow, opening, closing, reset, returned, data_bytes,
+            datagram):
+        self.flow = flow
+        self.opening = opening
+        self.closing = closing
+        self.reset = reset
+        self.returned = returned
+        self.data_bytes = data_bytes
+        self.datagram = datagram
+
+
+def flow_key(caller, service):
+    r"""Return the key of a flow from the addresses of its ends.
+
+    Examples
+    ========
+
+    >>> key = flow_key(
+    ...     address.Address('10.0.0.7', 40001),
+    ...     address.Address('10.9.0.1', 80))
+    >>> str(caller_of(key)), str(service_of(key)), describe(key)
+    ('10.0.0.7:40001', '10.9.0.1:80', '10.0.0.7:40001>10.9.0.1:80')
+
+    """
+    return address.to_bytes(caller) + address.to_bytes(service)
+
+
+def caller_of(flow):
+    r"""Return the caller's end of a flow."""
+    return address.from_bytes(flow[:END_BYTES])
+
+
+def service_of(flow):
+    r"""Return the service's end of a flow."""
+    return address.from_bytes(flow[END_BYTES:KEY_BYTES])
+
+
+def describe(flow):
+    r"""Return a flow as text for log lines."""
+    return '%s>%s' % (caller_of(flow), service_of(flow))
--- /dev/null
+++ b/poplarstep/steering/target.py
@@ -0,0 +1,120 @@
+r"""What an agent believes of the target beside it.
+
+Explanation
+===========
+
+Targets make themselves known by heartbeats only, which may be late, out of
+order or forged. A later start of a target replaces an earlier one; within
+one start the sequence number decides. A target that has been silent for
+longer than ``fresh_ms`` gets no new flow: its address may by then belong to
+a target of another service.
+"""
+
+from poplarstep.core import record
+
+
+class Heartbeat(record.Record):
+    r"""A target says what it is.
+
+    Parameters
+    ==========
+
+    key : int
+        Names the waiting sender at this agent; 0 when nobody waits.
+    identity : str
+        Name that the target gives itself; it may be used again.
+    started_at : int
+        Unix time in ms of the target's start; 0 when it is not told.
+    sequence : int
+        Rises with each heartbeat of one start.
+    leaving : bool
+        The target will stop and should get no new flows.
+    cold_ms : int
+        For how much longer the target is in cold start.
+    """
+
+    __slots__ = (
+        'key', 'identity', 'service', 'started_at', 'sequence', 'slots',
+        'leaving', 'cold_ms')
+
+    def __init__(
+            self, key, identity, service, started_at, sequence, slots,
+            leaving, cold_ms):
+        self.key = key
+        self.identity = identity
+        self.service = service
+        self.started_at = started_at
+        self.sequence = sequence
+        self.slots = slots
+        self.leaving = leaving
+        self.cold_ms = cold_ms
+
+
+class Departure(record.Record):
+    r"""A target says that it is about to end."""
+
+    __slots__ = ('key', 'identity')
+
+    def __init__(self, key, identity):
+        self.key = key
+        self.identity = identity
+
+
+class HeartbeatReply(record.Record):
+    r"""Effect: what was said is in force at this agent."""
+
+    __slots__ = ('key',)
+
+    def __init__(self, key):
+        self.key = key
+
+
+class TargetView:
+    r"""The present target, as its heartbeats describe it.
+
+    ``heard_at`` and ``cold_until`` are times of the agent's clock in ms.
+    """
+
+    __slots__ = (
+        'identity', 'service', 'started_at', 'sequence', 'slots', 'leaving',
+        'heard_at', 'cold_until')
+
+    def __init__(self, heartbeat, now):
+        self.identity = heartbeat.identity
+        self.service = heartbeat.service
+        self.started_at = heartbeat.started_at
+        self.sequence = heartbeat.sequence
+        self.slots = heartbeat.slots
+        self.leaving = heartbeat.leaving
+        self.heard_at = now
+        self.cold_until = now + heartbeat.cold_ms
+
+
+def is_same_start(view, heartbeat):
+    r"""Return whether a heartbeat is of the start that is known."""
+    return (
+        view.identity == heartbeat.identity
+        and view.started_at == heartbeat.started_at)
+
+
+def is_outdated(view, heartbeat):
+    r"""Return whether a heartbeat is older than what is known.
+
+    Examples
+    ========
+
+    >>> beat = Heartbeat(0, 'a', 'dispatch', 5000, 3, 1, False, 0)
+    >>> view = TargetView(beat, now=0)
+    >>> is_outdated(view, beat)
+    True
+    >>> is_outdated(view, beat.replace(sequence=4))
+    False
+    >>> is_outdated(view, beat.replace(started_at=4000, sequence=9))
+    True
+    >>> is_outdated(view, beat.replace(started_at=6000, sequence=1))
+    False
+
+    """
+    if is_same_start(view, heartbeat):
+        return heartbeat.sequence <= view.sequence
+    return heartbeat.started_at < view.started_at
