--- a/poplarstep/consensus/model/cluster.py
+++ b/poplarstep/consensus/model/cluster.py
@@ -74,14 +74,22 @@
         Seed of everything random.
     mechanisms : Mechanisms or None
         Safety mechanisms; all are on by default.
+    automatic : bool
+        The leader adds and removes hosts by itself.
+    seed_count : int or None
+        Hosts that are configured as seeds, the first ones; all by default.
     """
 
     __slots__ = (
         'random', 'network', 'mechanisms', 'host_by_name', 'now', 'events',
         'sequence', 'disk_count', 'journal', 'next_key', 'second_loss',
-        'log_changes')
+        'log_changes', 'automatic', 'seed_count')
 
-    def __init__(self, size, seed, mechanisms=None, skipped=()):
+    def __init__(
+            self, size, seed, mechanisms=None, skipped=(), automatic=False,
+            seed_count=None):
+        self.automatic = automatic
+        self.seed_count = seed_count
         self.random = random.Random(seed)
         self.network = network.Network(self.random)
         self.mechanisms = mechanisms or states.Mechanisms()
@@ -130,10 +138,11 @@
         host.state = replica.make_replica(
             message.HostIdentity(host.name, held.identity), host.address,
             tuple(states.Seed(item.name, item.address)
-                  for item in self.hosts),
+                  for item in self.hosts[:self.seed_count]),
             host.bootstrap, random.Random(self.random.getrandbits(64)),
             host.clock(self.now), held.term, held.voted_for, held.snapshot,
-            tuple(held.entries), self.mechanisms, KEPT_ENTRIES)
+            tuple(held.entries), self.mechanisms, KEPT_ENTRIES,
+            self.automatic)
         self.carry_out(host, replica.start(host.state))
         self.at(self.random.randint(1, 50), self.tick, host, host.epoch)
 
--- /dev/null
+++ b/poplarstep/consensus/tests/test_upkeep.py
@@ -0,0 +1,145 @@
+"""Tests of a membership that no operator looks after."""
+
+import pytest
+
+from poplarstep.consensus.model import cluster as clusters
+
+SEEDS = range(6)
+# A replaced host stops counting when its successor has had this time.
+CATCH_UP_MS = 4000
+
+
+def make(size, seed, automatic=True, seed_count=3):
+    """Return a running cluster that has founded its group."""
+    cluster = clusters.Cluster(
+        size, seed, automatic=automatic, seed_count=seed_count)
+    assert cluster.run(5000, lambda: cluster.holder() is not None)
+    return cluster
+
+
+def voters(cluster):
+    """Return the names of the voters that the leader knows."""
+    leader = cluster.holder()
+    if leader is None:
+        return set()
+    return {identity.name for identity in leader.state.voters}
+
+
+def disks(cluster):
+    """Return the disk identities of the voters."""
+    leader = cluster.holder()
+    return {item.disk for item in leader.state.voters} if leader else set()
+
+
+def settled(cluster, names):
+    """Return whether exactly these hosts are voters, durably."""
+    leader = cluster.holder()
+    return leader is not None and voters(cluster) == names and (
+        leader.state.log.members_index <= leader.state.commit_index)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('size', [4, 5, 6])
+def test_hosts_that_are_no_seeds_join(size, seed):
+    """Guards against hosts that stay outside because nobody adds them."""
+    cluster = make(size, seed)
+    names = {host.name for host in cluster.hosts}
+    assert cluster.run(CATCH_UP_MS, lambda: settled(cluster, names))
+
+
+def test_hosts_stay_outside_without_upkeep():
+    """Shows that the tests above notice the absence of the mechanism."""
+    cluster = make(4, 1, automatic=False)
+    cluster.run(2 * CATCH_UP_MS)
+    assert len(voters(cluster)) == 3
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('size, victim', [
+    (3, 0), (3, 2), (4, 1), (4, 3), (5, 4)])
+def test_wiped_host_returns_by_itself(size, victim, seed):
+    """Guards against a lost disk that weakens the group for good."""
+    cluster = make(size, seed)
+    names = {host.name for host in cluster.hosts}
+    assert cluster.run(CATCH_UP_MS, lambda: settled(cluster, names))
+    host = cluster.hosts[victim]
+    host.bootstrap = False
+    cluster.wipe(host)
+    cluster.run(500)
+    cluster.start(host)
+    assert cluster.run(CATCH_UP_MS, lambda: (
+        settled(cluster, names) and host.disk.identity in disks(cluster)))
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('size, victim', [(3, 0), (3, 2), (4, 0), (4, 3)])
+def test_host_is_replaced_at_another_address(size, victim, seed):
+    """Guards against a lost host that counts for ever."""
+    cluster = make(size, seed)
+    names = {host.name for host in cluster.hosts}
+    assert cluster.run(CATCH_UP_MS, lambda: settled(cluster, names))
+    lost = cluster.hosts[victim]
+    cluster.crash(lost)
+    cluster.run(1000)
+    successor = cluster.add_host('successor', bootstrap=False)
+    cluster.start(successor)
+    assert cluster.run(
+        CATCH_UP_MS, lambda: 'successor' in voters(cluster))
+    # Five voters of which one is lost tolerate as much as four; the lost
+    # one may stay for a while.
+    wanted = names - {lost.name} | {'successor'}
+    assert cluster.run(
+        CATCH_UP_MS if size % 2 else 40_000,
+        lambda: settled(cluster, wanted))
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_removed_host_that_returns_is_added_again(seed):
+    """Guards against a host that was merely dark and stays outside."""
+    cluster = make(4, seed)
+    names = {host.name for host in cluster.hosts}
+    assert cluster.run(CATCH_UP_MS, lambda: settled(cluster, names))
+    dark = cluster.hosts[1]
+    cluster.crash(dark)
+    assert cluster.run(
+        6000, lambda: settled(cluster, names - {dark.name}))
+    cluster.start(dark)
+    assert cluster.run(CATCH_UP_MS, lambda: settled(cluster, names))
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_all_hosts_killed_at_once_are_back_in_seconds(seed):
+    """Guards against a group that does not survive a power loss."""
+    cluster = make(3, seed)
+    key = cluster.propose(cluster.holder())
+    cluster.run(500)
+    for host in cluster.hosts:
+        cluster.crash(host)
+        host.bootstrap = False
+    cluster.run(800)
+    for host in cluster.hosts:
+        cluster.start(host)
+    assert cluster.run(4000, lambda: cluster.holder() is not None)
+    assert cluster.journal.outcome_by_key[key] != 'refused'
+    assert cluster.holder().applied_index > 0
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_wiped_host_during_a_power_loss_loses_nothing(seed):
+    """Guards against a wiped host that founds a second group."""
+    cluster = make(3, seed)
+    group = cluster.holder().state.group
+    cluster.propose(cluster.holder())
+    cluster.run(500)
+    for host in cluster.hosts:
+        host.bootstrap = False
+        cluster.crash(host)
+    cluster.wipe(cluster.hosts[seed % 3])
+    cluster.run(700)
+    for host in cluster.hosts:
+        cluster.start(host)
+    present = {host.disk.identity for host in cluster.hosts}
+    assert cluster.run(8000, lambda: disks(cluster) == present)
+    cluster.run(1000)
+    assert {host.state.group for host in cluster.hosts} == {group}
+    assert {host.applied_index > 0 for host in cluster.hosts} == {True}
--- a/poplarstep/consensus/upkeep.py
+++ b/poplarstep/consensus/upkeep.py
@@ -8,11 +8,12 @@
 host that returns with an empty disk replaces its former identity by the
 same change.
 
-A voter that does not answer is removed only from a group with an even
+A voter that does not answer is removed soon from a group with an even
 number of voters: a group of four with one silent voter tolerates no further
-loss, the remaining three tolerate one. An odd group gains nothing, so a
-host that was merely cut off or restarted keeps its vote. A removed host
-that comes back asks to join like any other.
+loss, the remaining three tolerate one. An odd group gains nothing at once,
+so a host that was merely cut off or restarted keeps its vote for longer,
+and three voters are never reduced to two. A removed host that comes back
+asks to join like any other.
 """
 
 from poplarstep.consensus import membership
@@ -25,6 +26,9 @@
 # Longer than an election and the restart of a process, and short enough for
 # a replaced host to stop counting before the next loss is to be borne.
 SILENT_MS = 3000
+# A member of an odd group that is silent for this long has been replaced.
+LOST_MS = 30_000
+FEWEST_VOTERS = 3
 
 
 def tick(state, now):
@@ -48,11 +52,10 @@
 
 def _retire(state, now):
     r"""Remove one silent voter of an even group, or a silent learner."""
-    voters = state.voters
     for member in states.others(state):
-        if silence(state, member, now) <= SILENT_MS:
+        if silence(state, member, now) <= patience_ms(state, member):
             continue
-        if member.voter and (len(voters) % 2 or len(voters) <= 2):
+        if member.voter and len(state.voters) <= FEWEST_VOTERS:
             continue
         members = tuple(
             item for item in state.log.members if item is not member)
@@ -62,6 +65,12 @@
     return []
 
 
+def patience_ms(state, member):
+    r"""Return for how long a member may be silent."""
+    odd = len(state.voters) % 2
+    return LOST_MS if member.voter and odd else SILENT_MS
+
+
 def silence(state, member, now):
     r"""Return for how many ms a member has not answered this leader."""
     progress = state.progress_by_identity.get(member.identity)
--- /dev/null
+++ b/poplarstep/steering/tests/test_agent.py
@@ -0,0 +1,231 @@
+"""Tests of what an agent hands to its target, and what it returns."""
+
+import pytest
+
+from poplarstep.configuration import model
+from poplarstep.core import timer
+from poplarstep.dissemination import message as dissemination
+from poplarstep.steering import agent
+from poplarstep.steering import message
+from poplarstep.steering import target
+from poplarstep.steering.tests import worlds
+
+TICK = timer.Tick(agent.TICK)
+
+
+def beat(state, now, **changes):
+    """Feed a heartbeat; return the effects."""
+    return agent.PRESENCE.process(state, worlds.heartbeat(**changes), now)
+
+
+@pytest.mark.parametrize('heard, beats, now, service, reason', [
+    pytest.param(True, [], 0, worlds.SERVICE, '', id='ready target'),
+    pytest.param(
+        False, [], 0, worlds.SERVICE, message.ABSENT,
+        id='a target that was never heard may be one of another service'),
+    pytest.param(
+        True, [], 1901, worlds.SERVICE, message.ABSENT,
+        id='the address of a silent target may be used again'),
+    pytest.param(
+        True, [], 0, worlds.OTHER_SERVICE, message.WRONG_SERVICE,
+        id='a flow for another service'),
+    pytest.param(
+        True, [{'sequence': 2, 'leaving': True}], 0, worlds.SERVICE,
+        message.LEAVING, id='a target that leaves'),
+    pytest.param(
+        True, [{'sequence': 2, 'leaving': True}, {'sequence': 1}], 0,
+        worlds.SERVICE, message.LEAVING,
+        id='a late heartbeat does not bring a leaving target back'),
+    pytest.param(
+        True, [{'started_at': 6000, 'service': 'certs'},
+               {'started_at': 5000, 'sequence': 9}], 0, worlds.SERVICE,
+        message.WRONG_SERVICE,
+        id='a late heartbeat of a former start changes no service'),
+    pytest.param(
+        True, [{'sequence': 2, 'leaving': True},
+               {'started_at': 6000, 'sequence': 1}], 0, worlds.SERVICE, '',
+        id='a new start under the same name counts its heartbeats anew'),
+])
+def test_obstacle(heard, beats, now, service, reason):
+    """Guards against flows at the wrong, leaving or absent target."""
+    state = worlds.make_agent(heard=heard)
+    for changes in beats:
+        beat(state, 0, **changes)
+    assert agent.obstacle(state, service, now) == reason
+    effects = worlds.ask_agent(state, worlds.offer(service=service), now)
+    assert bool(worlds.to_target(effects)) == (not reason)
+    assert [item.reason for item in worlds.answer(
+        effects, message.NotTaken)] == ([reason] if reason else [])
+
+
+def test_departed_target_gets_no_flow():
+    """Guards against flows at a target that has said it ends."""
+    state = worlds.make_agent()
+    agent.PRESENCE.process(state, target.Departure(0, 'i-1'), 0)
+    assert agent.obstacle(state, worlds.SERVICE, 0) == message.ABSENT
+
+
+def test_acknowledgement_follows_the_announcement():
+    """Guards against a heartbeat acknowledged before it is in force."""
+    state = worlds.make_agent()
+    effects = beat(state, 10, key=4, sequence=2, leaving=True)
+    assert type(effects[-1]) is target.HeartbeatReply
+    assert any(
+        type(item) is dissemination.Announced and item.announcement.leaving
+        for item in effects)
+
+
+def set_centre(state, out, now):
+    """Apply a change of the agent's data centre."""
+    version = state.catalogue.version + 1
+    state.catalogue.apply([model.Change(
+        version, model.DataCentre('maadi', 1, out, version))])
+    agent.HOLD.process(
+        state, dissemination.CatalogueChanged(version), now)
+
+
+def test_data_centre_out_and_back():
+    """Guards against flows into a data centre that is out.
+
+    After the return the target may have become cold without a heartbeat.
+    """
+    state = worlds.make_agent()
+    set_centre(state, True, 100)
+    assert agent.obstacle(
+        state, worlds.SERVICE, 100) == message.DATA_CENTRE_OUT
+    set_centre(state, False, 200)
+    assert agent.is_cold(state, 200)
+    beat(state, 300, sequence=2)
+    assert not agent.is_cold(state, 300)
+
+
+@pytest.mark.parametrize('interval_ms', [0, 10, 90, 130])
+def test_cold_target_gets_what_it_bears(interval_ms):
+    """Guards against more cold starts in any second than allowed."""
+    state = worlds.make_agent(slots=100, cold_ms=60_000)
+    limit = 2.0 * 1.5 + 5
+    started_at = []
+    for number in range(60):
+        now = number * interval_ms
+        beat(state, now, cold_ms=60_000, slots=100, sequence=2 + number)
+        effects = worlds.ask_agent(
+            state, worlds.offer(worlds.flow_number(number)), now)
+        if worlds.to_target(effects):
+            started_at.append(now)
+    assert started_at
+    for first in started_at:
+        assert sum(
+            first <= now <= first + 1000 for now in started_at) <= limit
+
+
+@pytest.mark.parametrize('may_wait, offers, handed, queued', [
+    (False, 1, 1, 0),
+    (False, 3, 1, 0),
+    (True, 3, 1, 2),
+])
+def test_slots_bound_the_flows_at_a_target(
+        may_wait, offers, handed, queued):
+    """Guards against a target that is given more than its slots."""
+    state = worlds.make_agent()
+    effects = []
+    for number in range(offers):
+        effects += worlds.ask_agent(state, worlds.offer(
+            worlds.flow_number(number), may_wait=may_wait))
+    assert len(worlds.to_target(effects)) == handed
+    assert state.waiting == queued
+    refused = worlds.answer(effects, message.NotTaken)
+    assert {item.reason for item in refused} <= {message.BUSY}
+    assert len(refused) == offers - handed - queued
+
+
+def test_queue_is_served_by_priority():
+    """Guards against a booking that waits behind what can wait."""
+    state = worlds.make_agent()
+    for number, priority in enumerate((2, 2, 1, 0)):
+        worlds.ask_agent(state, worlds.offer(
+            worlds.flow_number(number), priority=priority, may_wait=True))
+    order = []
+    for number in (0, 3, 2):
+        effects = agent.HOLD.process(state, message.FromTarget(
+            worlds.segment(worlds.flow_number(number), data=9)), 30)
+        order += worlds.answer(effects, message.Held)
+    started = [item.flow for item in order]
+    assert started == [worlds.flow_number(number) for number in (3, 2, 1)]
+
+
+def test_full_wait_is_refused_at_once():
+    """Guards against a caller that waits for what can't come in time."""
+    state = worlds.make_agent()
+    state.occupancy.service_us = 500_000
+    effects = worlds.ask_agent(state, worlds.offer(
+        worlds.flow_number(0), may_wait=True))
+    assert worlds.to_target(effects)
+    refused = worlds.ask_agent(state, worlds.offer(
+        worlds.flow_number(1), may_wait=True, remaining_ms=400))
+    assert worlds.answer(refused, message.NotTaken)[0].reason == (
+        message.OVERLOADED)
+
+
+@pytest.mark.parametrize('known, now, handed, held', [
+    pytest.param(True, 90_000, True, True, id='holder'),
+    pytest.param(
+        False, 1000, True, False,
+        id='a restarted agent can not know what its target holds'),
+    pytest.param(False, 90_000, False, False, id='not the holder'),
+])
+def test_find(known, now, handed, held):
+    """Guards against packets of a moved flow that reach no target."""
+    state = worlds.make_agent()
+    if known:
+        worlds.ask_agent(state, worlds.offer())
+    carry = message.Carry(worlds.FLOW, True, False, b'data')
+    effects = worlds.ask_agent(
+        state, message.Find(carry), now, worlds.OTHER_BALANCER)
+    assert bool(worlds.to_target(effects)) is handed
+    assert bool(worlds.answer(effects, message.Held)) is held
+
+
+def test_flow_found_by_asking_is_reported():
+    """Guards against asking all agents for every packet of a flow."""
+    state = worlds.make_agent()
+    worlds.ask_agent(state, message.Find(
+        message.Carry(worlds.FLOW, True, False, b'data')), 10)
+    effects = agent.HOLD.process(
+        state, message.FromTarget(worlds.segment(data=5)), 20)
+    assert worlds.answer(effects, message.Held)
+
+
+@pytest.mark.parametrize('opening, kind', [
+    pytest.param(True, message.NotTaken, id='full target'),
+    pytest.param(False, message.Stray, id='flow of another target'),
+])
+def test_returned_packet_goes_back_to_the_balancer(opening, kind):
+    """Guards against packets that end at a target that can't take them."""
+    state = worlds.make_agent()
+    worlds.ask_agent(state, worlds.offer())
+    effects = agent.HOLD.process(state, message.FromTarget(
+        worlds.segment(opening=opening, returned=True)), 5)
+    assert [type(item.message) for item in effects] == [kind]
+    assert state.occupancy.count() == 0
+
+
+def test_abandoned_flow_frees_its_place():
+    """Guards against a target that stays idle for callers that left."""
+    state = worlds.make_agent()
+    worlds.ask_agent(state, worlds.offer())
+    worlds.ask_agent(state, worlds.offer(
+        worlds.flow_number(5), may_wait=True, remaining_ms=9000))
+    beat(state, 1700, sequence=2)
+    effects = agent.HOLD.process(state, TICK, 1700)
+    assert worlds.to_target(effects) == [b'opening']
+
+
+def test_silent_target_is_announced_as_leaving():
+    """Guards against balancers that go on offering to a silent target."""
+    state = worlds.make_agent()
+    quiet = agent.PRESENCE.process(state, TICK, 1000)
+    assert quiet == [TICK]
+    effects = agent.PRESENCE.process(state, TICK, 2000)
+    announced = [item for item in effects
+                 if type(item) is dissemination.Announced]
+    assert [item.announcement.leaving for item in announced] == [True]
--- /dev/null
+++ b/poplarstep/steering/tests/test_balancer.py
@@ -0,0 +1,170 @@
+"""Tests of where a balancer steers the packets of opaque flows."""
+
+import pytest
+
+from poplarstep.configuration import model
+from poplarstep.core import timer
+from poplarstep.steering import balancer
+from poplarstep.steering import message
+from poplarstep.steering.tests import worlds
+
+TICK = timer.Tick(balancer.TICK)
+
+
+def arrive(state, now=0, **changes):
+    """Feed a caller's packet; return the effects."""
+    return list(balancer.STEER.process(
+        state, message.FromCaller(worlds.segment(**changes)), now))
+
+
+def tell(state, source, item, now=1):
+    """Feed an agent's answer; return the effects."""
+    return list(balancer.STEER.process(
+        state, message.FromNode(source, item), now))
+
+
+def destinations(effects):
+    """Return where messages go."""
+    return [item.destination for item in effects
+            if type(item) is message.ToNode]
+
+
+def not_taken(reason):
+    """Return an agent's refusal of the flow."""
+    return message.NotTaken(worlds.FLOW, reason, worlds.IDLE_LOAD)
+
+
+def refusals(effects):
+    """Return the flows that are reset."""
+    return [item.flow for item in effects
+            if type(item) is message.ResetFlow]
+
+
+def test_new_flow_is_offered_to_a_target_of_its_service():
+    """Guards against a flow at a target of another service."""
+    for seed in range(20):
+        state = worlds.make_balancer(seed=seed)
+        place, = destinations(arrive(state, opening=True))
+        assert place in worlds.AGENTS[:3]
+
+
+@pytest.mark.parametrize('reason', [
+    message.BUSY, message.COLD, message.LEAVING, message.ABSENT,
+    message.WRONG_SERVICE, message.RETURNED])
+def test_refused_offer_goes_to_another_target(reason):
+    """Guards against a flow that is lost at a target that can't take it."""
+    state = worlds.make_balancer()
+    first, = destinations(arrive(state, opening=True))
+    second, = destinations(tell(state, first, not_taken(reason)))
+    assert second != first
+
+
+def test_busy_targets_are_asked_to_queue_in_the_end():
+    """Guards against a refusal while a queue has room."""
+    state = worlds.make_balancer()
+    effects = arrive(state, opening=True)
+    waits = []
+    for _ in range(4):
+        place, = destinations(effects)
+        waits.append(effects[0].message.may_wait)
+        effects = tell(state, place, not_taken(message.BUSY))
+    assert waits == [False, False, False, True]
+
+
+@pytest.mark.parametrize('reason', [
+    message.COLD, message.LEAVING, message.ABSENT])
+def test_flow_without_any_target_is_refused(reason):
+    """Guards against a caller that waits for nothing."""
+    state = worlds.make_balancer()
+    effects = arrive(state, opening=True)
+    for _ in range(3):
+        place, = destinations(effects)
+        effects = tell(state, place, not_taken(reason))
+    assert refusals(effects) == [worlds.FLOW]
+
+
+def test_unanswered_offer_goes_elsewhere_before_the_caller_repeats():
+    """Guards against waiting for a host that is dead or cut off."""
+    state = worlds.make_balancer()
+    first, = destinations(arrive(state, opening=True))
+    assert destinations(balancer.STEER.process(state, TICK, 20)) == []
+    second, = destinations(balancer.STEER.process(state, TICK, 60))
+    assert second != first
+
+
+def test_later_packets_follow_the_agent_that_holds_the_flow():
+    """Guards against an open flow that changes its target."""
+    state = worlds.make_balancer()
+    place, = destinations(arrive(state, opening=True))
+    tell(state, place, message.Held(worlds.FLOW, worlds.IDLE_LOAD))
+    for _ in range(5):
+        assert destinations(arrive(state, data=10)) == [place]
+
+
+def test_unknown_flow_is_sought_at_all_targets_of_its_route():
+    """Guards against flows that break when the fabric moves them."""
+    state = worlds.make_balancer()
+    effects = arrive(state, data=10)
+    assert destinations(effects) == list(worlds.AGENTS[:3])
+    assert {type(item.message) for item in effects} == {message.Find}
+    tell(state, worlds.AGENTS[1], message.Held(
+        worlds.FLOW, worlds.IDLE_LOAD))
+    assert destinations(arrive(state, data=10)) == [worlds.AGENTS[1]]
+
+
+def test_stray_packet_is_sought_elsewhere():
+    """Guards against a flow that stays at a target that lost it."""
+    state = worlds.make_balancer()
+    place, = destinations(arrive(state, opening=True))
+    tell(state, place, message.Held(worlds.FLOW, worlds.IDLE_LOAD))
+    effects = tell(state, place, message.Stray(
+        worlds.FLOW, True, False, b'data'))
+    assert destinations(effects) == list(worlds.AGENTS[:3])
+
+
+def test_seeking_ends():
+    """Guards against asking all agents for ever for an ended flow."""
+    state = worlds.make_balancer()
+    sent = [len(arrive(state, data=10)) for _ in range(40)]
+    assert sent[0] == 3 and sent[-1] == 0
+
+
+@pytest.mark.parametrize('change, place, reset', [
+    pytest.param(None, worlds.OTHER_PLACE, True, id='never a route'),
+    pytest.param(
+        model.Removal('route', 1), worlds.PLACE, True, id='removed route'),
+    pytest.param(None, worlds.PLACE, False, id='route'),
+])
+def test_flow_without_a_route_is_reset(change, place, reset):
+    """Guards against flows that run by a dropped route."""
+    state = worlds.make_balancer()
+    if change is not None:
+        state.catalogue.apply([model.Change(2, change)])
+    flow = worlds.segments.flow_key(worlds.CALLER, place)
+    effects = arrive(state, flow=flow, opening=True)
+    assert bool(refusals(effects)) is reset
+
+
+def test_no_answer_without_a_configuration():
+    """Guards against refusals by a node that does not know the routes."""
+    state = worlds.make_balancer()
+    state.confirmed = lambda now: False
+    assert arrive(state, opening=True) == []
+    assert arrive(state, data=1) == []
+
+
+def test_copy_of_an_opening_packet_makes_no_second_offer():
+    """Guards against one flow at two targets."""
+    state = worlds.make_balancer()
+    place, = destinations(arrive(state, opening=True))
+    assert arrive(state, opening=True, now=10) == []
+    tell(state, place, message.Held(worlds.FLOW, worlds.IDLE_LOAD))
+    assert destinations(arrive(state, opening=True, now=200)) == [place]
+
+
+def test_idle_flows_are_forgotten():
+    """Guards against a table that grows for ever."""
+    state = worlds.make_balancer()
+    arrive(state, data=1)
+    balancer.STEER.process(state, TICK, 20_000)
+    assert state.tracked_by_flow == {}
--- /dev/null
+++ b/poplarstep/steering/tests/worlds.py
@@ -0,0 +1,118 @@
+r"""States and messages that the tests of opaque flows share."""
+
+import random
+
+from poplarstep.configuration import catalogue as catalogues
+from poplarstep.configuration import model
+from poplarstep.core import address
+from poplarstep.steering import agent
+from poplarstep.steering import balancer
+from poplarstep.steering import message
+from poplarstep.steering import placement
+from poplarstep.steering import segment as segments
+from poplarstep.steering import target
+
+CALLER = address.Address('100.64.0.7', 40001)
+PLACE = address.Address('198.18.0.1', 8443)
+OTHER_PLACE = address.Address('198.18.0.1', 9000)
+FLOW = segments.flow_key(CALLER, PLACE)
+AGENTS = tuple(
+    address.Address('10.0.0.%d' % number, 7000) for number in range(4))
+BALANCER = address.Address('10.0.1.1', 7100)
+OTHER_BALANCER = address.Address('10.0.1.2', 7100)
+# Service 1 has the targets 0 to 2, service 2 the target 3.
+SERVICE, OTHER_SERVICE = 1, 2
+IDLE_LOAD = message.Load(0, 1, 20_000)
+
+
+def make_catalogue():
+    r"""Return a catalogue with two services, four targets and a route."""
+    catalogue = catalogues.Catalogue()
+    bodies = [
+        model.Service('dispatch', SERVICE, None, 0, 1000, (), 1, 2.0),
+        model.Service('certs', OTHER_SERVICE, None, 0, 1000, (), 1, 2.0),
+        model.DataCentre('maadi', 1, False, 1),
+        make_route(SERVICE),
+        model.Policy(7, 15_000, 1),
+    ] + [make_target(number) for number in range(4)]
+    catalogue.apply([model.Change(1, body) for body in bodies])
+    return catalogue
+
+
+def make_route(service, number=1, place=PLACE):
+    r"""Return a route with one service."""
+    return model.Route(
+        'r-%d' % number, number, place, False, 1, 2000, 150,
+        (model.Share(service, 1),), 1)
+
+
+def make_target(number, **changes):
+    r"""Return a target of the catalogue."""
+    service = OTHER_SERVICE if number == 3 else SERVICE
+    return model.Target(
+        'side-%d' % number, number, service, 1, AGENTS[number], 1, 1, 1, 1,
+        False, False, 1).replace(**changes)
+
+
+def make_balancer(catalogue=None, seed=1):
+    r"""Return the state of a balancer with a confirmed configuration."""
+    generator = random.Random(seed)
+    return balancer.make_steering(
+        catalogue or make_catalogue(), lambda now: True,
+        placement.make_placement('two-choices', generator), generator)
+
+
+def make_agent(catalogue=None, slots=1, **beat):
+    r"""Return the state of the agent of target 0, which was heard at 0."""
+    state = agent.make_hold({
+        'node': 'side-0', 'data-centre': 'maadi',
+        'agent-address': AGENTS[0], 'target-fresh': 1900,
+        'flow-limit': 60_000, 'cold-factor': 1.5, 'cold-slack': 5.0,
+    }, catalogue or make_catalogue(), 1, now=0)
+    if beat.pop('heard', True):
+        agent.PRESENCE.process(state, heartbeat(slots=slots, **beat), 0)
+    return state
+
+
+def heartbeat(**changes):
+    r"""Return a heartbeat of the target of service 1."""
+    return target.Heartbeat(
+        0, 'i-1', 'dispatch', 5000, 1, 1, False, 0).replace(**changes)
+
+
+def segment(flow=FLOW, opening=False, data=0, closing=False, returned=False):
+    r"""Return a packet of a flow."""
+    return segments.Segment(
+        flow, opening, closing, False, returned, data, b'packet')
+
+
+def offer(flow=FLOW, service=SERVICE, priority=1, may_wait=False,
+          remaining_ms=1400):
+    r"""Return an offer of a flow."""
+    return message.Offer(
+        flow, service, priority, remaining_ms, may_wait, b'opening')
+
+
+def flow_number(number):
+    r"""Return the key of one of several flows of the same route."""
+    return segments.flow_key(CALLER.replace(port=1 + number), PLACE)
+
+
+def ask_agent(state, item, now=0, source=BALANCER):
+    r"""Return the effects of a balancer's message to an agent."""
+    return list(agent.HOLD.process(
+        state, message.FromNode(source, item), now))
+
+
+def answer(effects, kind):
+    r"""Return the messages of a kind that go to other nodes."""
+    return [
+        item.message for item in effects
+        if type(item) is message.ToNode and type(item.message) is kind]
+
+
+def to_target(effects):
+    r"""Return the datagrams that are handed to the target."""
+    return [
+        item.datagram for item in effects
+        if type(item) is message.ToTarget]
