Drop opening packets that outlived a pause; free abandoned places soon

Ruled out: slow targets (p99 was 80 ms before), lost control (the lease lapsed but balancers go on without it).

Change: after a pause the balancer drops opening packets until a tick comes in time; a reservation ends after 100 ms. Lines of one event are bounded to 20 a second and go to stdout.

--- a/poplarstep/dissemination/message.py
+++ b/poplarstep/dissemination/message.py
@@ -133,6 +133,15 @@
     __slots__ = ()
 
 
+class UpstreamsConfigured(record.Record):
+    r"""The settings name other upstreams than before."""
+
+    __slots__ = ('upstreams',)
+
+    def __init__(self, upstreams: tuple[address.Address, ...]):
+        self.upstreams = upstreams
+
+
 class Announced(record.Record):
     r"""A target announced itself to the agent of this node."""
 
--- a/poplarstep/dissemination/route.py
+++ b/poplarstep/dissemination/route.py
@@ -60,6 +60,15 @@
         self.leader = None
         return self.seeds[self.current]
 
+    def configure(self, upstreams):
+        r"""Use other configured seeds; return whether they differ."""
+        if not upstreams or tuple(upstreams) == self.configured:
+            return False
+        present = self.seeds[self.current]
+        self.configured = tuple(upstreams)
+        self.learn((present,))
+        return True
+
     def learn(self, upstreams):
         r"""Try the present control hosts first, then the configured seeds.
 
@@ -109,6 +118,10 @@
         r"""Return the inbox of the leader, or None."""
         return self.leader()
 
+    def configure(self, upstreams):
+        r"""Return that nothing changed; the replicated log decides."""
+        return False
+
     def learn(self, upstreams):
         r"""Do nothing; the replicated log holds the members."""
 
--- a/poplarstep/dissemination/subscriber.py
+++ b/poplarstep/dissemination/subscriber.py
@@ -142,6 +142,15 @@
     return _poll(state, now)
 
 
+@SUBSCRIBER.handles(message.UpstreamsConfigured)
+def upstreams_configured(state, event, now):
+    r"""Try the upstreams that the settings name now."""
+    if not state.route.configure(event.upstreams):
+        return []
+    return [effect.LogChange('upstreams-configured', (
+        ('upstreams', ','.join(map(str, event.upstreams))),))]
+
+
 @SUBSCRIBER.handles(effect.Received)
 def received(state, event, now):
     r"""Take in an update; pass other messages on."""
--- a/poplarstep/edge/logs.py
+++ b/poplarstep/edge/logs.py
@@ -12,10 +12,12 @@
 import json
 import logging as standard_logging
 import re
+import sys
 
 from absl import flags
 from absl import logging
 
+LIMIT_WINDOW_MS = 1000
 PLAIN_PATTERN = re.compile(r'[^\s"=\x00-\x1f\x7f]+')
 
 
@@ -71,8 +73,48 @@
             rest.replace('\n', ' ')]))
 
 
+class Limiter:
+    r"""Bounds the lines of each event to a number a second.
+
+    The first line after a cut says how many were left out, so that a count
+    of lines can be corrected.
+
+    Examples
+    ========
+
+    >>> limiter = Limiter(lines_per_second=2)
+    >>> [limiter.admit('refused', now=0) for _ in range(4)]
+    [0, 0, None, None]
+    >>> limiter.admit('refused', now=1000)
+    2
+
+    """
+
+    __slots__ = ('lines_per_second', 'window_by_event')
+
+    def __init__(self, lines_per_second):
+        self.lines_per_second = lines_per_second
+        self.window_by_event = {}
+
+    def admit(self, event, now):
+        r"""Return how many lines were left out before this one, or None.
+
+        None means that this line is to be left out too. ``now`` is in ms.
+        """
+        window = self.window_by_event.get(event)
+        if window is None or now - window[0] >= LIMIT_WINDOW_MS:
+            left_out = window[2] if window else 0
+            self.window_by_event[event] = [now, 1, 0]
+            return left_out
+        if window[1] < self.lines_per_second:
+            window[1] += 1
+            return 0
+        window[2] += 1
+        return None
+
+
 def configure(settings):
-    r"""Send log lines to stderr and return their ``Formatter``."""
+    r"""Send log lines to stdout and return their ``Formatter``."""
     # absl warns on every start when its own flags were not parsed; the
     # settings table stands in for them.
     flags.FLAGS.mark_as_parsed()
@@ -80,5 +122,7 @@
     logging.set_verbosity(settings['log-level'])
     logging.set_stderrthreshold(settings['log-level'])
     formatter = Formatter(settings)
-    logging.get_absl_handler().setFormatter(formatter)
+    handler = logging.get_absl_handler()
+    handler.python_handler.stream = sys.stdout
+    handler.setFormatter(formatter)
     return formatter
--- a/poplarstep/edge/task.py
+++ b/poplarstep/edge/task.py
@@ -26,6 +26,8 @@
 
 # A decoded datagram takes up to 2 kB, so a full inbox holds 32 MB.
 INBOX_MESSAGES = 16_384
+# Lines of one event; under overload the counters tell the rest.
+LOG_LINES_PER_SECOND = 20
 
 
 class TaskCounters:
@@ -65,7 +67,7 @@
         self.pipeline = pipeline
         self.timers = timers
         self.performer_by_type = {
-            effect.LogChange: log_change,
+            effect.LogChange: make_log_change(),
             effect.Loop: lambda item: [item.message],
             **performer_by_type,
         }
@@ -142,10 +144,21 @@
         return batch + self.timers.due(clock.now_ms())
 
 
-def log_change(item):
-    r"""Write the log line of a change of state."""
-    logging.info('%s %s', item.event, ' '.join(
-        logs.pair(*field) for field in item.fields))
+def make_log_change():
+    r"""Return the performer that writes the line of a decision or change."""
+    limiter = logs.Limiter(LOG_LINES_PER_SECOND)
+
+    def log_change(item):
+        left_out = limiter.admit(item.event, clock.now_ms())
+        if left_out is None:
+            return
+        fields = item.fields
+        if left_out:
+            fields += (('lines_left_out', left_out),)
+        logging.info('%s %s', item.event, ' '.join(
+            logs.pair(*field) for field in fields))
+
+    return log_change
 
 
 def start(task):
--- a/poplarstep/programs/node.py
+++ b/poplarstep/programs/node.py
@@ -44,6 +44,8 @@
         Returns a dictionary for ``/status``.
     ready : callable
         Returns whether the node may take traffic.
+    reload : callable
+        Takes in settings that changed while the node runs.
     leave : callable
         Starts a graceful shutdown and returns its ``Drain``.
     failed : Event
@@ -52,7 +54,8 @@
 
     __slots__ = (
         'settings', 'task', 'links', 'routes', 'exporter', 'closers',
-        'readers', 'status', 'ready', 'leave', 'timers', 'failed')
+        'readers', 'status', 'ready', 'leave', 'timers', 'failed',
+        'reload')
 
     def __init__(self, settings):
         self.settings = settings
@@ -68,6 +71,7 @@
         self.links = None
         self.status = dict
         self.ready = lambda: False
+        self.reload = lambda: None
         self.leave = lambda: Drain(lambda: True, lambda: 0)
 
 
@@ -118,7 +122,7 @@
     if isinstance(served, result.Failure):
         return served
     node.closers.append(served.unwrap().stop)
-    node.readers = [
+    node.readers += [
         gevent.spawn(item.read_loop, node.task.post)
         for item in [links, *sockets.values()]]
     node.readers.append(tasks.start(node.task))
--- a/poplarstep/programs/serving.py
+++ b/poplarstep/programs/serving.py
@@ -44,6 +44,8 @@
 
     gevent.signal_handler(signal.SIGTERM, on_signal)
     gevent.signal_handler(signal.SIGINT, on_signal)
+    # Without a handler the signal would end the process.
+    gevent.signal_handler(signal.SIGHUP, _reload, node)
     gevent.wait([asked, node.failed], count=1)
     if node.failed.is_set():
         _fail(node)
@@ -54,6 +56,11 @@
     sys.exit(EXIT_CUT if cut else 0)
 
 
+def _reload(node):
+    logging.info('settings-reloaded')
+    node.reload()
+
+
 def _fail(node):
     r"""End a process of which a part has ended; nothing can be drained."""
     logging.error('node-failed exit_code=%d', EXIT_FAILED)
--- a/poplarstep/steering/balancer.py
+++ b/poplarstep/steering/balancer.py
@@ -36,6 +36,9 @@
 # that nobody holds has ended; its caller finds out by its time limit.
 MAXIMUM_FINDS = 12
 MAXIMUM_FLOWS = 200_000
+# After a pause of this length, such as a freeze of the host, the callers of
+# the opening packets that wait in the socket have gone or have repeated them.
+PAUSE_MS = 400
 SWEEP_MS = 1000
 DEFAULT_IDLE_MS = 15_000
 
@@ -85,7 +88,7 @@
     __slots__ = (
         'packets', 'carried', 'openings', 'offers', 'held', 'not_taken',
         'silent_offers', 'finds', 'strays', 'unknown_route', 'reset_flows',
-        'no_target', 'unconfirmed', 'table_full', 'given_up')
+        'no_target', 'unconfirmed', 'table_full', 'outdated', 'pauses')
 
     def __init__(self):
         for name in self.__slots__:
@@ -97,7 +100,7 @@
 
     __slots__ = (
         'catalogue', 'confirmed', 'placement', 'random', 'tracked_by_flow',
-        'offering', 'counters', 'sweep_due')
+        'offering', 'counters', 'sweep_due', 'ticked_at', 'resumed_at')
 
     def __init__(self, catalogue, confirmed, placed, random):
         self.catalogue = catalogue
@@ -108,6 +111,8 @@
         self.offering = {}
         self.counters = SteeringCounters()
         self.sweep_due = 0
+        self.ticked_at = None
+        self.resumed_at = None
 
 
 def make_steering(catalogue, confirmed, placed, random):
@@ -138,6 +143,9 @@
         return []
     segment = event.segment
     tracked = state.tracked_by_flow.get(segment.flow)
+    if segment.opening and _is_outdated(state, now):
+        state.counters.outdated += 1
+        return []
     if segment.opening:
         return _opening(state, segment, tracked, now)
     if tracked is None:
@@ -146,6 +154,16 @@
     return _onward(state, tracked, _carry(segment))
 
 
+def _is_outdated(state, now):
+    r"""Return whether packets may have waited for this process to resume.
+
+    It has not ticked for a while, or what had piled up is still being read.
+    """
+    if state.ticked_at is None:
+        return False
+    return now - state.ticked_at > PAUSE_MS or state.resumed_at is not None
+
+
 def _carry(segment):
     return message.Carry(
         segment.flow, segment.data_bytes > 0,
@@ -362,7 +380,7 @@
     r"""Repeat unanswered offers elsewhere and forget idle flows."""
     if event.name != TICK:
         return [event]
-    effects = []
+    effects = _note_pause(state, now)
     for flow, tracked in list(state.offering.items()):
         if now - tracked.offered_at >= OFFER_TIMEOUT_MS:
             effects.extend(_silent(state, flow, tracked, now))
@@ -372,6 +390,18 @@
     return effects
 
 
+def _note_pause(state, now):
+    r"""Notice a pause; it counts until the next tick that came in time."""
+    paused_ms = 0 if state.ticked_at is None else now - state.ticked_at
+    state.ticked_at = now
+    if paused_ms <= PAUSE_MS:
+        state.resumed_at = None
+        return []
+    state.resumed_at = now
+    state.counters.pauses += 1
+    return [effect.LogChange('resumed', (('paused_ms', paused_ms),))]
+
+
 def _silent(state, flow, tracked, now):
     state.counters.silent_offers += 1
     number = tracked.offered_to.number
--- a/poplarstep/steering/occupancy.py
+++ b/poplarstep/steering/occupancy.py
@@ -12,8 +12,9 @@
 from poplarstep.steering import message
 
 SERVICE_WEIGHT = 0.1
-# A caller that opened a flow and never sends its request.
-RESERVED_MS = 1600
+# A caller sends its request a round trip after the target's answer. One that
+# has given up sends none; its place is free again soon.
+RESERVED_MS = 100
 
 
 class Occupancy:
--- a/poplarstep/steering/tests/test_balancer.py
+++ b/poplarstep/steering/tests/test_balancer.py
@@ -168,3 +168,17 @@
     arrive(state, data=1)
     balancer.STEER.process(state, TICK, 20_000)
     assert state.tracked_by_flow == {}
+
+
+def test_opening_packets_that_waited_for_a_paused_balancer_are_dropped():
+    """Guards against targets that wait for callers that have given up."""
+    state = worlds.make_balancer()
+    balancer.STEER.process(state, TICK, 0)
+    late = [arrive(state, now=7000, opening=True, flow=worlds.flow_number(1))]
+    balancer.STEER.process(state, TICK, 7000)
+    late.append(arrive(
+        state, now=7001, opening=True, flow=worlds.flow_number(2)))
+    balancer.STEER.process(state, TICK, 7020)
+    fresh = arrive(
+        state, now=7021, opening=True, flow=worlds.flow_number(3))
+    assert late == [[], []] and len(fresh) == 1
