--- a/poplarstep/steering/agent.py
+++ b/poplarstep/steering/agent.py
@@ -22,6 +22,7 @@
 from poplarstep.dissemination import message as dissemination
 from poplarstep.steering import message
 from poplarstep.steering import occupancy
+from poplarstep.steering import segment as segments
 from poplarstep.steering import target as targets
 
 TICK = 'hold'
@@ -278,7 +279,9 @@
     if not reason:
         reason = _no_room(state, offered)
     if reason:
-        return [_not_taken(state, event.source, offered.flow, reason)]
+        return [
+            _not_taken(state, event.source, offered.flow, reason),
+            _not_taken_line(state, offered.flow, reason)]
     if _may_start(state, now):
         return _start(state, event.source, offered, now)
     if not offered.may_wait:
@@ -322,7 +325,12 @@
 
 
 def _cold_starts(state, now):
-    r"""Return the number of flows that started in the last second."""
+    r"""Return the number of flows that started in the last second.
+
+    What a former run of this agent started is not known.
+    """
+    if now - state.started_at <= COLD_WINDOW_MS:
+        return MAXIMUM_QUEUE
     starts = state.cold_starts
     while starts and now - starts[0] > COLD_WINDOW_MS:
         starts.popleft()
@@ -363,7 +371,14 @@
         _cold_starts(state, now)
     return [
         message.ToTarget(offered.datagram),
-        _held(state, balancer, offered.flow)]
+        _held(state, balancer, offered.flow),
+        effect.LogChange('flow-started', (
+            ('flow', segments.describe(offered.flow)),
+            ('target', state.target.identity),
+            ('occupied', state.occupancy.count()),
+            ('waiting', state.waiting),
+            ('heartbeat_age_ms', now - state.target.heard_at),
+            ('version', state.catalogue.version)))]
 
 
 def _remember(state, key, flow):
@@ -393,6 +408,13 @@
         balancer, message.NotTaken(key, reason, _load(state)))
 
 
+def _not_taken_line(state, key, reason):
+    return effect.LogChange('flow-not-taken', (
+        ('flow', segments.describe(key)), ('reason', reason),
+        ('occupied', state.occupancy.count()), ('waiting', state.waiting),
+        ('version', state.catalogue.version)))
+
+
 def _load(state):
     slots = state.target.slots if state.target else 1
     return state.occupancy.load(state.waiting, max(1, slots))
--- a/poplarstep/steering/balancer.py
+++ b/poplarstep/steering/balancer.py
@@ -59,12 +59,15 @@
         Numbers of the targets that did not take it.
     offered_to : Target or None
         Target whose agent has not answered yet.
+    may_be_open : bool
+        A target may have taken the flow without this balancer's knowledge,
+        so it must not be reset.
     """
 
     __slots__ = (
         'agent', 'opening', 'tried', 'offered_to', 'offered_at', 'offers',
         'service', 'priority', 'deadline', 'last_used', 'finds', 'waits',
-        'reports')
+        'reports', 'may_be_open')
 
     def __init__(self, now):
         self.agent = None
@@ -80,6 +83,7 @@
         self.finds = 0
         self.waits = False
         self.reports = {}
+        self.may_be_open = False
 
 
 class SteeringCounters:
@@ -215,7 +219,8 @@
         segments.service_of(segment.flow))
     if route is None:
         state.counters.unknown_route += 1
-        return _refuse(state, segment.flow, 'no-route')
+        return _refuse(
+            state, segment.flow, tracked, 'no-route', segment.repeated)
     if tracked is not None:
         tracked.last_used = now
         if tracked.offered_to is not None:
@@ -226,6 +231,7 @@
     state.counters.openings += 1
     tracked = _track(state, segment.flow, now)
     tracked.opening = segment.datagram
+    tracked.may_be_open = segment.repeated
     tracked.service = _service_of(state, route)
     tracked.priority = route.priority
     tracked.deadline = now + min(OPENING_PATIENCE_MS, route.timeout_ms)
@@ -262,7 +268,8 @@
         state.counters.no_target += 1
         _stop_offering(state, flow, tracked)
         del state.tracked_by_flow[flow]
-        return _refuse(state, flow, 'no-target')
+        return _refuse(
+            state, flow, tracked, 'no-target', tracked.may_be_open)
     tracked.offered_to = target
     tracked.offered_at = now
     tracked.offers += 1
@@ -289,11 +296,20 @@
     tracked.offered_to = None
 
 
-def _refuse(state, flow, reason):
-    state.counters.reset_flows += 1
-    return [message.ResetFlow(flow), effect.LogChange('flow-refused', (
+def _refuse(state, flow, tracked, reason, may_be_open):
+    r"""Reset a flow that is surely not open; otherwise say nothing.
+
+    A caller whose flow is not open gives up by itself.
+    """
+    line = effect.LogChange('flow-refused', (
         ('flow', segments.describe(flow)), ('reason', reason),
-        ('version', state.catalogue.version)))]
+        ('offers', tracked.offers if tracked else 0),
+        ('reset', not may_be_open),
+        ('version', state.catalogue.version)))
+    if may_be_open:
+        return [line]
+    state.counters.reset_flows += 1
+    return [message.ResetFlow(flow), line]
 
 
 # Handlers ``(state, event, now)`` by the type of the message in the event.
@@ -340,7 +356,8 @@
     _stop_offering(state, answer.flow, tracked)
     if answer.reason == message.OVERLOADED:
         del state.tracked_by_flow[answer.flow]
-        return _refuse(state, answer.flow, answer.reason)
+        return _refuse(
+            state, answer.flow, tracked, answer.reason, tracked.may_be_open)
     return _next_offer(state, answer.flow, tracked, now)
 
 
@@ -407,8 +424,13 @@
     number = tracked.offered_to.number
     state.placement.silent(number, now)
     tracked.tried += (number,)
+    tracked.may_be_open = True
     _stop_offering(state, flow, tracked)
-    return _next_offer(state, flow, tracked, now)
+    line = effect.LogChange('offer-unanswered', (
+        ('flow', segments.describe(flow)), ('target', number),
+        ('waited_ms', now - tracked.offered_at),
+        ('version', state.catalogue.version)))
+    return [line] + _next_offer(state, flow, tracked, now)
 
 
 def _sweep(state, now):
--- a/poplarstep/steering/segment.py
+++ b/poplarstep/steering/segment.py
@@ -25,6 +25,8 @@
         Key of the flow, see ``flow_key``.
     opening : bool
         Asks to open the flow.
+    repeated : bool
+        A later copy of an opening packet; the flow may be open by now.
     closing : bool
         The sender will send no more data.
     reset : bool
@@ -39,14 +41,15 @@
     """
 
     __slots__ = (
-        'flow', 'opening', 'closing', 'reset', 'returned', 'data_bytes',
-        'datagram')
+        'flow', 'opening', 'repeated', 'closing', 'reset', 'returned',
+        'data_bytes', 'datagram')
 
     def __init__(
             self, flow, opening, closing, reset, returned, data_bytes,
-            datagram):
+            datagram, repeated=False):
         self.flow = flow
         self.opening = opening
+        self.repeated = repeated
         self.closing = closing
         self.reset = reset
         self.returned = returned
--- a/poplarstep/steering/tests/test_balancer.py
+++ b/poplarstep/steering/tests/test_balancer.py
@@ -182,3 +182,25 @@
     fresh = arrive(
         state, now=7021, opening=True, flow=worlds.flow_number(3))
     assert late == [[], []] and len(fresh) == 1
+
+
+@pytest.mark.parametrize('repeated, unanswered, reset', [
+    pytest.param(False, False, True, id='surely not open'),
+    pytest.param(True, False, False, id='an earlier copy may have opened it'),
+    pytest.param(False, True, False, id='a silent target may have taken it'),
+])
+def test_flow_that_may_be_open_is_not_reset(repeated, unanswered, reset):
+    """Guards against a reset of an open flow by the system."""
+    state = worlds.make_balancer()
+    effects = list(balancer.STEER.process(state, message.FromCaller(
+        worlds.segments.Segment(
+            worlds.FLOW, True, False, False, False, 0, b'packet',
+            repeated)), 0))
+    if unanswered:
+        effects = list(balancer.STEER.process(state, TICK, 60))
+    for _ in range(3):
+        places = destinations(effects)
+        if places:
+            effects = tell(state, places[0], not_taken(message.COLD), 61)
+    assert worlds.FLOW not in state.tracked_by_flow
+    assert bool(refusals(effects)) is reset
