Bound the time that a new flow waits in queues by its objective

Cause: an overloaded target's queue let flows wait until their callers gave up, so nearly all answers came too late and the refused callers tried again.

Ruled out: the choice of targets (random placement collapsed alike).

Change: a flow may wait for half of its route's objective; beyond that, and when its wait in the queue expires, its caller is told at once.

--- a/poplarstep/steering/agent.py
+++ b/poplarstep/steering/agent.py
@@ -343,14 +343,16 @@
         return message.OVERLOADED
     if not offered.may_wait:
         return ''
-    if expected_wait_ms(state) > offered.remaining_ms:
+    if expected_wait_ms(state, offered.priority) > offered.patience_ms:
         return message.OVERLOADED
     return ''
 
 
-def expected_wait_ms(state):
-    r"""Return how long a new request would wait for a slot."""
-    ahead = state.occupancy.count() + state.waiting
+def expected_wait_ms(state, priority):
+    r"""Return how long a new request of a priority would wait for a slot."""
+    ahead = state.occupancy.count() + sum(
+        len(queue) for number, queue in state.queue_by_priority.items()
+        if number <= priority)
     slots = max(1, state.target.slots)
     over = max(0, ahead - slots + 1)
     return over * state.occupancy.service_us / slots / 1000
@@ -394,7 +396,7 @@
     if offered.flow not in queue:
         state.waiting += 1
     queue[offered.flow] = Waiting(
-        balancer, offered, now + offered.remaining_ms)
+        balancer, offered, now + offered.patience_ms)
     return [_held(state, balancer, offered.flow)]
 
 
@@ -517,7 +519,8 @@
         reason = obstacle(state, waiting.offer.service, now)
         if now >= waiting.deadline:
             state.counters.expired_waiting += 1
-        elif reason:
+            reason = message.OVERLOADED
+        if reason:
             effects.append(_not_taken(
                 state, waiting.balancer, waiting.offer.flow, reason))
         else:
--- a/poplarstep/steering/balancer.py
+++ b/poplarstep/steering/balancer.py
@@ -32,6 +32,9 @@
 # Callers repeat an opening packet after 200 and 600 ms and give up after
 # this time.
 OPENING_PATIENCE_MS = 1400
+# Part of a route's objective that a new flow may spend in queues. Without a
+# bound an overloaded target answers all requests late and none in time.
+QUEUE_SHARE = 0.5
 # Packets of an unknown flow that are sent to all agents of a route. A flow
 # that nobody holds has ended; its caller finds out by its time limit.
 MAXIMUM_FINDS = 12
@@ -67,7 +70,7 @@
     __slots__ = (
         'agent', 'opening', 'tried', 'offered_to', 'offered_at', 'offers',
         'service', 'priority', 'deadline', 'last_used', 'finds', 'waits',
-        'reports', 'may_be_open')
+        'reports', 'may_be_open', 'queue_until')
 
     def __init__(self, now):
         self.agent = None
@@ -84,6 +87,7 @@
         self.waits = False
         self.reports = {}
         self.may_be_open = False
+        self.queue_until = 0
 
 
 class SteeringCounters:
@@ -235,6 +239,9 @@
     tracked.service = _service_of(state, route)
     tracked.priority = route.priority
     tracked.deadline = now + min(OPENING_PATIENCE_MS, route.timeout_ms)
+    objective_ms = route.objective_ms or route.timeout_ms
+    tracked.queue_until = min(
+        tracked.deadline, now + int(QUEUE_SHARE * objective_ms))
     return _next_offer(state, segment.flow, tracked, now)
 
 
@@ -250,7 +257,7 @@
 def _offer(tracked, flow, datagram, now):
     return message.Offer(
         flow, tracked.service, tracked.priority,
-        max(0, tracked.deadline - now), tracked.waits, datagram)
+        max(0, tracked.queue_until - now), tracked.waits, datagram)
 
 
 def _next_offer(state, flow, tracked, now):
@@ -354,7 +361,12 @@
     tracked.tried += (number,)
     tracked.reports[number] = answer.reason
     _stop_offering(state, answer.flow, tracked)
+    return _after_refusal(state, tracked, answer, now)
+
+
+def _after_refusal(state, tracked, answer, now):
     if answer.reason == message.OVERLOADED:
+        # The caller hears it while there is time for another try.
         del state.tracked_by_flow[answer.flow]
         return _refuse(
             state, answer.flow, tracked, answer.reason, tracked.may_be_open)
@@ -367,7 +379,7 @@
             not tracked.opening):
         return []
     tracked.agent = None
-    return _next_offer(state, event.message.flow, tracked, now)
+    return _after_refusal(state, tracked, event.message, now)
 
 
 @ANSWERS.handles(message.Stray)
--- a/poplarstep/steering/message.py
+++ b/poplarstep/steering/message.py
@@ -56,24 +56,25 @@
         Number of the service that the route names.
     priority : int
         0 is the highest.
-    remaining_ms : int
-        For how long the caller still waits.
+    patience_ms : int
+        For how long the flow may wait at the agent; an answer after a
+        longer wait would be late.
     may_wait : bool
         The agent may put it into its queue; otherwise it returns it when
         all slots of the target are taken.
     """
 
     __slots__ = (
-        'flow', 'service', 'priority', 'remaining_ms', 'may_wait',
+        'flow', 'service', 'priority', 'patience_ms', 'may_wait',
         'datagram')
 
     def __init__(
             self, flow: bytes, service: int, priority: int,
-            remaining_ms: int, may_wait: bool, datagram: bytes):
+            patience_ms: int, may_wait: bool, datagram: bytes):
         self.flow = flow
         self.service = service
         self.priority = priority
-        self.remaining_ms = remaining_ms
+        self.patience_ms = patience_ms
         self.may_wait = may_wait
         self.datagram = datagram
 
--- a/poplarstep/steering/tests/test_agent.py
+++ b/poplarstep/steering/tests/test_agent.py
@@ -161,7 +161,7 @@
         worlds.flow_number(0), may_wait=True))
     assert worlds.to_target(effects)
     refused = worlds.ask_agent(state, worlds.offer(
-        worlds.flow_number(1), may_wait=True, remaining_ms=400))
+        worlds.flow_number(1), may_wait=True, patience_ms=400))
     assert worlds.answer(refused, message.NotTaken)[0].reason == (
         message.OVERLOADED)
 
@@ -214,7 +214,7 @@
     state = worlds.make_agent()
     worlds.ask_agent(state, worlds.offer())
     worlds.ask_agent(state, worlds.offer(
-        worlds.flow_number(5), may_wait=True, remaining_ms=9000))
+        worlds.flow_number(5), may_wait=True, patience_ms=9000))
     effects = agent.HOLD.process(state, TICK, 150)
     assert worlds.to_target(effects) == [b'opening']
 
--- a/poplarstep/steering/tests/worlds.py
+++ b/poplarstep/steering/tests/worlds.py
@@ -87,10 +87,10 @@
 
 
 def offer(flow=FLOW, service=SERVICE, priority=1, may_wait=False,
-          remaining_ms=1400):
+          patience_ms=1400):
     r"""Return an offer of a flow."""
     return message.Offer(
-        flow, service, priority, remaining_ms, may_wait, b'opening')
+        flow, service, priority, patience_ms, may_wait, b'opening')
 
 
 def flow_number(number):
