--- a/poplarstep/edge/logs.py
+++ b/poplarstep/edge/logs.py
@@ -120,7 +120,8 @@
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(settings['log-level'])
-    logging.set_stderrthreshold(settings['log-level'])
+    # Otherwise each line would go to stderr as well.
+    logging.set_stderrthreshold('fatal')
     formatter = Formatter(settings)
     handler = logging.get_absl_handler()
     handler.python_handler.stream = sys.stdout
--- a/poplarstep/steering/balancer.py
+++ b/poplarstep/steering/balancer.py
@@ -35,6 +35,11 @@
 # Part of a route's objective that a new flow may spend in queues. Without a
 # bound an overloaded target answers all requests late and none in time.
 QUEUE_SHARE = 0.5
+# A flow that no target takes for a passing reason is offered again after
+# this time, while its caller still waits.
+ROUND_MS = 60
+PASSING = frozenset((
+    message.ABSENT, message.COLD, message.WRONG_SERVICE, message.LEAVING))
 # Packets of an unknown flow that are sent to all agents of a route. A flow
 # that nobody holds has ended; its caller finds out by its time limit.
 MAXIMUM_FINDS = 12
@@ -96,7 +101,8 @@
     __slots__ = (
         'packets', 'carried', 'openings', 'offers', 'held', 'not_taken',
         'silent_offers', 'finds', 'strays', 'unknown_route', 'reset_flows',
-        'no_target', 'unconfirmed', 'table_full', 'outdated', 'pauses')
+        'no_target', 'unconfirmed', 'table_full', 'outdated', 'pauses',
+        'parked')
 
     def __init__(self):
         for name in self.__slots__:
@@ -108,7 +114,8 @@
 
     __slots__ = (
         'catalogue', 'confirmed', 'placement', 'random', 'tracked_by_flow',
-        'offering', 'counters', 'sweep_due', 'ticked_at', 'resumed_at')
+        'offering', 'parked', 'counters', 'sweep_due', 'ticked_at',
+        'resumed_at')
 
     def __init__(self, catalogue, confirmed, placed, random):
         self.catalogue = catalogue
@@ -117,6 +124,7 @@
         self.random = random
         self.tracked_by_flow = {}
         self.offering = {}
+        self.parked = {}
         self.counters = SteeringCounters()
         self.sweep_due = 0
         self.ticked_at = None
@@ -213,6 +221,7 @@
         oldest = next(iter(state.tracked_by_flow))
         del state.tracked_by_flow[oldest]
         state.offering.pop(oldest, None)
+        state.parked.pop(oldest, None)
     tracked = state.tracked_by_flow[flow] = Tracked(now)
     return tracked
 
@@ -227,7 +236,7 @@
             state, segment.flow, tracked, 'no-route', segment.repeated)
     if tracked is not None:
         tracked.last_used = now
-        if tracked.offered_to is not None:
+        if tracked.offered_to is not None or segment.flow in state.parked:
             return []
         if tracked.agent is not None and now < tracked.deadline:
             return [message.ToNode(tracked.agent, _offer(
@@ -271,6 +280,10 @@
     if target is None and tracked.offers < MAXIMUM_OFFERS:
         target = _shortest_queue(state, tracked, candidates, now)
         tracked.waits = True
+    if target is None and _may_change(tracked, candidates, now):
+        state.counters.parked += 1
+        state.parked[flow] = now + ROUND_MS
+        return []
     if target is None or now >= tracked.deadline:
         state.counters.no_target += 1
         _stop_offering(state, flow, tracked)
@@ -287,6 +300,23 @@
         tracked, flow, tracked.opening, now))]
 
 
+def _may_change(tracked, candidates, now):
+    r"""Return whether another round of offers may find a target in time."""
+    passing = not candidates or not PASSING.isdisjoint(
+        tracked.reports.values())
+    return passing and now + ROUND_MS < tracked.deadline
+
+
+def _next_round(state, flow, now):
+    r"""Offer a parked flow to all targets again."""
+    del state.parked[flow]
+    tracked = state.tracked_by_flow[flow]
+    tracked.tried = ()
+    tracked.reports = {}
+    tracked.offers = 0
+    return _next_offer(state, flow, tracked, now)
+
+
 def _shortest_queue(state, tracked, candidates, now):
     r"""Return the busy target that will be free first, or an untried one."""
     busy = [
@@ -413,6 +443,9 @@
     for flow, tracked in list(state.offering.items()):
         if now - tracked.offered_at >= OFFER_TIMEOUT_MS:
             effects.extend(_silent(state, flow, tracked, now))
+    for flow, due in list(state.parked.items()):
+        if now >= due:
+            effects.extend(_next_round(state, flow, now))
     if now >= state.sweep_due:
         state.sweep_due = now + SWEEP_MS
         _sweep(state, now)
@@ -452,7 +485,7 @@
     for flow in list(state.tracked_by_flow):
         tracked = state.tracked_by_flow[flow]
         if now - tracked.last_used > idle_ms and (
-                tracked.offered_to is None):
+                tracked.offered_to is None and flow not in state.parked):
             del state.tracked_by_flow[flow]
 
 
