Let a cold target that this agent knows from its start take flows at once

Ruled out: the control hosts (configurations were there at 38.8 s).

Change: a target whose first heartbeat this agent heard was not served by a former run; the limit is the one that the configuration allows.

--- a/poplarstep/steering/agent.py
+++ b/poplarstep/steering/agent.py
@@ -314,14 +314,9 @@
 
 
 def cold_limit(state, service):
-    r"""Return how many flows a cold target may start in one second.
-
-    One less than the bound, for a request whose arrival is counted in the
-    next second.
-    """
+    r"""Return how many flows a cold target may start in one second."""
     return max(1, int(
-        service.cold_per_second * state.cold_factor
-        + state.cold_slack) - 1)
+        service.cold_per_second * state.cold_factor + state.cold_slack))
 
 
 def _cold_starts(state, now):
@@ -329,7 +324,8 @@
 
     What a former run of this agent started is not known.
     """
-    if now - state.started_at <= COLD_WINDOW_MS:
+    if not state.target.from_start and (
+            now - state.started_at <= COLD_WINDOW_MS):
         return MAXIMUM_QUEUE
     starts = state.cold_starts
     while starts and now - starts[0] > COLD_WINDOW_MS:
--- a/poplarstep/steering/target.py
+++ b/poplarstep/steering/target.py
@@ -13,6 +13,9 @@
 from poplarstep.core import record
 
 
+FIRST_SEQUENCE = 1
+
+
 class Heartbeat(record.Record):
     r"""A target says what it is.
 
@@ -73,11 +76,13 @@
     r"""The present target, as its heartbeats describe it.
 
     ``heard_at`` and ``cold_until`` are times of the agent's clock in ms.
+    ``from_start`` tells that this agent heard the first heartbeat of this
+    start, so no former run of the agent can have served it.
     """
 
     __slots__ = (
         'identity', 'service', 'started_at', 'sequence', 'slots', 'leaving',
-        'heard_at', 'cold_until')
+        'heard_at', 'cold_until', 'from_start')
 
     def __init__(self, heartbeat, now):
         self.identity = heartbeat.identity
@@ -88,6 +93,7 @@
         self.leaving = heartbeat.leaving
         self.heard_at = now
         self.cold_until = now + heartbeat.cold_ms
+        self.from_start = heartbeat.sequence <= FIRST_SEQUENCE
 
 
 def is_same_start(view, heartbeat):
