Split the steering of balancer and agent by job

Change: states, offers, presence and admission are modules of their own; no behaviour changes. Tests pass unchanged but for the names.

--- a/benchmarks/flow_model.py
+++ b/benchmarks/flow_model.py
@@ -20,9 +20,12 @@
 from poplarstep.core import address
 from poplarstep.core import timer
 from poplarstep.steering import agent
+from poplarstep.steering import agent_state
 from poplarstep.steering import balancer
+from poplarstep.steering import balancer_state
 from poplarstep.steering import message
 from poplarstep.steering import placement
+from poplarstep.steering import presence
 from poplarstep.steering import segment as segments
 from poplarstep.steering import target as targets
 
@@ -151,13 +154,14 @@
         self.ports = itertools.count(FIRST_PORT)
         catalogue = make_catalogue(site)
         self.balancers = {
-            address.Address('10.1.0.%d' % number, 1): balancer.make_steering(
+            address.Address('10.1.0.%d' % number, 1):
+            balancer_state.make_steering(
                 catalogue, lambda now: True,
                 placement.make_placement(placement_name, generator),
                 generator)
             for number in range(site.balancers)}
         self.targets = {
-            agent_place(number): Target(speed, agent.make_hold({
+            agent_place(number): Target(speed, agent_state.make_hold({
                 'node': 'side-%d' % number, 'data-centre': 'one',
                 'agent-address': agent_place(number), 'target-fresh': 1900,
                 'flow-limit': 0, 'cold-factor': 1.0, 'cold-slack': 1.0,
@@ -214,7 +218,7 @@
 def beat(world, place):
     r"""Let a target send its heartbeat."""
     held = world.targets[place]
-    agent.PRESENCE.process(held.state, targets.Heartbeat(
+    presence.PRESENCE.process(held.state, targets.Heartbeat(
         0, 'i', 'service', 1, next(held.beats), world.site.slots, False, 0),
         world.clock)
     if world.now < world.until + world.site.limit_ms:
--- a/benchmarks/flow_packets.py
+++ b/benchmarks/flow_packets.py
@@ -17,6 +17,7 @@
 from poplarstep.core import address
 from poplarstep.edge import wire
 from poplarstep.steering import balancer
+from poplarstep.steering import balancer_state
 from poplarstep.steering import message
 from poplarstep.steering import placement
 from poplarstep.steering import segment as segments
@@ -39,7 +40,7 @@
                        agent_place(number), 1, 1, 1, 1, False, False, 1)
           for number in range(target_count))]])
     generator = random.Random(1)
-    return balancer.make_steering(
+    return balancer_state.make_steering(
         catalogue, lambda now: True,
         placement.make_placement('two-choices', generator), generator)
 
--- a/poplarstep/programs/flow_agent.py
+++ b/poplarstep/programs/flow_agent.py
@@ -10,9 +10,9 @@
 from poplarstep.programs import flow_balancer
 from poplarstep.programs import node as nodes
 from poplarstep.programs import waiters
-from poplarstep.steering import agent as agents
 from poplarstep.steering import assembly
 from poplarstep.steering import message
+from poplarstep.steering import presence
 from poplarstep.steering import target
 
 
@@ -90,7 +90,7 @@
 
 
 def _leave(node, held):
-    node.task.report([agents.Leave()])
+    node.task.report([presence.Leave()])
     return nodes.Drain(
         lambda: not _open_flows(held), lambda: _open_flows(held))
 
--- a/poplarstep/steering/assembly.py
+++ b/poplarstep/steering/assembly.py
@@ -5,8 +5,11 @@
 from poplarstep.dissemination import publisher
 from poplarstep.dissemination import subscriber
 from poplarstep.steering import agent as agents
+from poplarstep.steering import agent_state
 from poplarstep.steering import balancer as balancers
+from poplarstep.steering import balancer_state
 from poplarstep.steering import placement
+from poplarstep.steering import presence
 
 # Modules whose ticks the front end subscribes to.
 BALANCER_TICKING = (subscriber, publisher, balancers)
@@ -33,7 +36,7 @@
         lambda now: subscriber.lease_left(subscribed, now),
         lambda: None, publisher.RELAY_HOLD_MS)
     serve_anyway = settings['without-control'] == 'serve'
-    steering = balancers.make_steering(
+    steering = balancer_state.make_steering(
         catalogue,
         lambda now: catalogue.policy is not None and (
             serve_anyway or subscriber.lease_holds(subscribed, now)),
@@ -52,9 +55,9 @@
     subscribed = subscriber.make_subscriber(
         settings['node'], 'agent', incarnation, catalogue,
         settings['upstreams'])
-    held = agents.make_hold(settings, catalogue, incarnation, now)
+    held = agent_state.make_hold(settings, catalogue, incarnation, now)
     return stage.Pipeline([
-        (agents.PRESENCE, held),
+        (presence.PRESENCE, held),
         (subscriber.SUBSCRIBER, subscribed),
         (agents.HOLD, held),
     ]), subscribed, held
--- a/poplarstep/steering/tests/test_agent.py
+++ b/poplarstep/steering/tests/test_agent.py
@@ -5,8 +5,10 @@
 from poplarstep.configuration import model
 from poplarstep.core import timer
 from poplarstep.dissemination import message as dissemination
+from poplarstep.steering import admission
 from poplarstep.steering import agent
 from poplarstep.steering import message
+from poplarstep.steering import presence
 from poplarstep.steering import target
 from poplarstep.steering.tests import worlds
 
@@ -15,7 +17,7 @@
 
 def beat(state, now, **changes):
     """Feed a heartbeat; return the effects."""
-    return agent.PRESENCE.process(state, worlds.heartbeat(**changes), now)
+    return presence.PRESENCE.process(state, worlds.heartbeat(**changes), now)
 
 
 @pytest.mark.parametrize('heard, beats, now, service, reason', [
@@ -51,7 +53,7 @@
     state = worlds.make_agent(heard=heard)
     for changes in beats:
         beat(state, 0, **changes)
-    assert agent.obstacle(state, service, now) == reason
+    assert admission.obstacle(state, service, now) == reason
     effects = worlds.ask_agent(state, worlds.offer(service=service), now)
     assert bool(worlds.to_target(effects)) == (not reason)
     assert [item.reason for item in worlds.answer(
@@ -61,8 +63,8 @@
 def test_departed_target_gets_no_flow():
     """Guards against flows at a target that has said it ends."""
     state = worlds.make_agent()
-    agent.PRESENCE.process(state, target.Departure(0, 'i-1'), 0)
-    assert agent.obstacle(state, worlds.SERVICE, 0) == message.ABSENT
+    presence.PRESENCE.process(state, target.Departure(0, 'i-1'), 0)
+    assert admission.obstacle(state, worlds.SERVICE, 0) == message.ABSENT
 
 
 def test_acknowledgement_follows_the_announcement():
@@ -91,12 +93,12 @@
     """
     state = worlds.make_agent()
     set_centre(state, True, 100)
-    assert agent.obstacle(
+    assert admission.obstacle(
         state, worlds.SERVICE, 100) == message.DATA_CENTRE_OUT
     set_centre(state, False, 200)
-    assert agent.is_cold(state, 200)
+    assert admission.is_cold(state, 200)
     beat(state, 300, sequence=2)
-    assert not agent.is_cold(state, 300)
+    assert not admission.is_cold(state, 300)
 
 
 @pytest.mark.parametrize('interval_ms', [0, 10, 90, 130])
@@ -106,7 +108,7 @@
     limit = 2.0 * 1.5 + 5
     started_at = []
     for number in range(60):
-        now = agent.COLD_WINDOW_MS + 1 + number * interval_ms
+        now = admission.COLD_WINDOW_MS + 1 + number * interval_ms
         beat(state, now, cold_ms=60_000, slots=100, sequence=2 + number)
         effects = worlds.ask_agent(
             state, worlds.offer(worlds.flow_number(number)), now)
@@ -222,9 +224,9 @@
 def test_silent_target_is_announced_as_leaving():
     """Guards against balancers that go on offering to a silent target."""
     state = worlds.make_agent()
-    quiet = agent.PRESENCE.process(state, TICK, 1000)
+    quiet = presence.PRESENCE.process(state, TICK, 1000)
     assert quiet == [TICK]
-    effects = agent.PRESENCE.process(state, TICK, 2000)
+    effects = presence.PRESENCE.process(state, TICK, 2000)
     announced = [item for item in effects
                  if type(item) is dissemination.Announced]
     assert [item.announcement.leaving for item in announced] == [True]
@@ -255,4 +257,4 @@
     """
     state = worlds.make_agent(
         slots=100, cold_ms=60_000, sequence=sequence)
-    assert agent.obstacle(state, worlds.SERVICE, 500) == reason
+    assert admission.obstacle(state, worlds.SERVICE, 500) == reason
--- a/poplarstep/steering/tests/worlds.py
+++ b/poplarstep/steering/tests/worlds.py
@@ -6,9 +6,11 @@
 from poplarstep.configuration import model
 from poplarstep.core import address
 from poplarstep.steering import agent
-from poplarstep.steering import balancer
+from poplarstep.steering import agent_state
+from poplarstep.steering import balancer_state
 from poplarstep.steering import message
 from poplarstep.steering import placement
+from poplarstep.steering import presence
 from poplarstep.steering import segment as segments
 from poplarstep.steering import target
 
@@ -57,20 +59,20 @@
 def make_balancer(catalogue=None, seed=1):
     r"""Return the state of a balancer with a confirmed configuration."""
     generator = random.Random(seed)
-    return balancer.make_steering(
+    return balancer_state.make_steering(
         catalogue or make_catalogue(), lambda now: True,
         placement.make_placement('two-choices', generator), generator)
 
 
 def make_agent(catalogue=None, slots=1, **beat):
     r"""Return the state of the agent of target 0, which was heard at 0."""
-    state = agent.make_hold({
+    state = agent_state.make_hold({
         'node': 'side-0', 'data-centre': 'maadi',
         'agent-address': AGENTS[0], 'target-fresh': 1900,
         'flow-limit': 60_000, 'cold-factor': 1.5, 'cold-slack': 5.0,
     }, catalogue or make_catalogue(), 1, now=0)
     if beat.pop('heard', True):
-        agent.PRESENCE.process(state, heartbeat(slots=slots, **beat), 0)
+        presence.PRESENCE.process(state, heartbeat(slots=slots, **beat), 0)
     return state
 
 
