Serve a cold target at once when it started together with its agent

Change: a target that started within 400 ms before its agent was served by no former run, because an agent takes longer than that to start.

Test fails without the change.

--- a/poplarstep/steering/agent_state.py
+++ b/poplarstep/steering/agent_state.py
@@ -5,6 +5,7 @@
 from poplarstep.steering import occupancy
 
 DEFAULT_IDLE_MS = 15_000
+NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 
 class Flow:
@@ -57,7 +58,8 @@
         'catalogue', 'fresh_ms', 'flow_limit_ms', 'cold_factor',
         'cold_slack', 'started_at', 'target', 'flow_by_key', 'occupancy',
         'queue_by_priority', 'waiting', 'cold_starts', 'leaving', 'gone',
-        'announced', 'was_out', 'returned_at', 'counters', 'sweep_due')
+        'announced', 'was_out', 'returned_at', 'started_unix_ms',
+        'counters', 'sweep_due')
 
     def __init__(self, settings, catalogue, incarnation, now):
         self.node = settings['node']
@@ -69,6 +71,7 @@
         self.cold_slack = settings['cold-slack']
         self.catalogue = catalogue
         self.incarnation = incarnation
+        self.started_unix_ms = incarnation // NANOSECONDS_PER_MILLISECOND
         self.revision = 0
         self.started_at = now
         self.target = None
--- a/poplarstep/steering/presence.py
+++ b/poplarstep/steering/presence.py
@@ -50,11 +50,13 @@
         state.counters.restarts += 1
         state.flow_by_key.clear()
         state.occupancy.clear()
-    state.target = targets.TargetView(event, now)
+    state.target = targets.TargetView(event, now, targets.is_first_agent(
+        event, state.started_unix_ms))
     state.gone = False
     return [effect.LogChange('target-started', (
         ('target', event.identity), ('service', event.service),
-        ('started_at', event.started_at), ('cold_ms', event.cold_ms)))]
+        ('started_at', event.started_at), ('sequence', event.sequence),
+        ('cold_ms', event.cold_ms)))]
 
 
 def _refresh(view, event, now):
--- a/poplarstep/steering/target.py
+++ b/poplarstep/steering/target.py
@@ -14,6 +14,9 @@
 
 
 FIRST_SEQUENCE = 1
+# An agent takes at least this long to start, in which it serves nothing. A
+# target that started no earlier has been served by this run alone.
+STARTUP_MS = 400
 
 
 class Heartbeat(record.Record):
@@ -76,15 +79,15 @@
     r"""The present target, as its heartbeats describe it.
 
     ``heard_at`` and ``cold_until`` are times of the agent's clock in ms.
-    ``from_start`` tells that this agent heard the first heartbeat of this
-    start, so no former run of the agent can have served it.
+    ``from_start`` tells that no former run of the agent can have served
+    this start of the target.
     """
 
     __slots__ = (
         'identity', 'service', 'started_at', 'sequence', 'slots', 'leaving',
         'heard_at', 'cold_until', 'from_start')
 
-    def __init__(self, heartbeat, now):
+    def __init__(self, heartbeat, now, from_start=False):
         self.identity = heartbeat.identity
         self.service = heartbeat.service
         self.started_at = heartbeat.started_at
@@ -93,7 +96,7 @@
         self.leaving = heartbeat.leaving
         self.heard_at = now
         self.cold_until = now + heartbeat.cold_ms
-        self.from_start = heartbeat.sequence <= FIRST_SEQUENCE
+        self.from_start = from_start
 
 
 def is_same_start(view, heartbeat):
@@ -103,6 +106,29 @@
         and view.started_at == heartbeat.started_at)
 
 
+def is_first_agent(heartbeat, agent_started_at):
+    r"""Return whether no former run of an agent can have served a start.
+
+    Parameters
+    ==========
+
+    agent_started_at : int
+        Unix time in ms of the agent's start, by the clock of the same host.
+
+    Examples
+    ========
+
+    >>> beat = Heartbeat(0, 'a', 'dispatch', 5000, 3, 1, False, 0)
+    >>> is_first_agent(beat, 5300), is_first_agent(beat, 9000)
+    (True, False)
+    >>> is_first_agent(beat.replace(sequence=1), 9000)
+    True
+
+    """
+    return heartbeat.sequence <= FIRST_SEQUENCE or (
+        heartbeat.started_at > agent_started_at - STARTUP_MS)
+
+
 def is_outdated(view, heartbeat):
     r"""Return whether a heartbeat is older than what is known.
 
--- a/poplarstep/steering/tests/test_agent.py
+++ b/poplarstep/steering/tests/test_agent.py
@@ -246,15 +246,17 @@
     assert worlds.to_target(worlds.ask_agent(state, worlds.offer(), 10))
 
 
-@pytest.mark.parametrize('sequence, reason', [
-    pytest.param(1, '', id='no former run can have served this start'),
-    pytest.param(2, message.COLD, id='a former run may have'),
+@pytest.mark.parametrize('sequence, started_at, reason', [
+    pytest.param(1, 5000, '', id='its first heartbeat came to this run'),
+    pytest.param(2, 8700, '', id='it started with this run'),
+    pytest.param(2, 5000, message.COLD, id='a former run may have served it'),
 ])
-def test_restarted_agent_and_a_cold_target(sequence, reason):
+def test_restarted_agent_and_a_cold_target(sequence, started_at, reason):
     """Guards against two runs of an agent that each use the whole limit.
 
     Also against a second without service after a power loss of all hosts.
     """
     state = worlds.make_agent(
-        slots=100, cold_ms=60_000, sequence=sequence)
+        slots=100, cold_ms=60_000, sequence=sequence,
+        started_at=started_at)
     assert admission.obstacle(state, worlds.SERVICE, 500) == reason
--- a/poplarstep/steering/tests/worlds.py
+++ b/poplarstep/steering/tests/worlds.py
@@ -24,6 +24,9 @@
 OTHER_BALANCER = address.Address('10.0.1.2', 7100)
 # Service 1 has the targets 0 to 2, service 2 the target 3.
 SERVICE, OTHER_SERVICE = 1, 2
+# An incarnation is the Unix time of a start, in nanoseconds; targets start
+# at 5 s unless a test says otherwise.
+AGENT_RUN = 9_000_000_000
 IDLE_LOAD = message.Load(0, 1, 20_000)
 
 
@@ -70,7 +73,7 @@
         'node': 'side-0', 'data-centre': 'maadi',
         'agent-address': AGENTS[0], 'target-fresh': 1900,
         'flow-limit': 60_000, 'cold-factor': 1.5, 'cold-slack': 5.0,
-    }, catalogue or make_catalogue(), 1, now=0)
+    }, catalogue or make_catalogue(), AGENT_RUN, now=0)
     if beat.pop('heard', True):
         presence.PRESENCE.process(state, heartbeat(slots=slots, **beat), 0)
     return state
