Learn the service time of a target that is always busy

Cause: an agent learned only from requests that found a free slot.

Change: a request that waits in the target's own queue counts from the end of an earlier one, so each answer teaches.

--- a/poplarstep/steering/occupancy.py
+++ b/poplarstep/steering/occupancy.py
@@ -5,8 +5,10 @@
 
 A flow occupies the target from the moment at which its opening packet is
 handed over, because its request follows, until the target sends data, which
-ends the work on the request. The mean service time is learned from requests
-that found a free slot.
+ends the work on the request. A request that finds all slots busy waits in
+the target's own queue; its work counts from the moment at which an earlier
+one ends. Without that, a slow target that is always busy would never show
+its service time, and balancers would go on taking it for an average one.
 """
 
 from poplarstep.steering import message
@@ -21,17 +23,18 @@
     r"""Flows that occupy the target, by key.
 
     ``since_by_flow`` holds when the work began, or None while the request
-    is awaited; ``reserved_by_flow`` when the place was taken.
+    is awaited; ``reserved_by_flow`` when the place was taken; ``queued``
+    the flows whose requests wait for a slot, in their order.
     """
 
     __slots__ = (
-        'since_by_flow', 'reserved_by_flow', 'service_us', 'crowded')
+        'since_by_flow', 'reserved_by_flow', 'service_us', 'queued')
 
     def __init__(self):
         self.since_by_flow = {}
         self.reserved_by_flow = {}
         self.service_us = 0
-        self.crowded = set()
+        self.queued = {}
 
     def count(self):
         r"""Return the number of flows that occupy the target."""
@@ -48,8 +51,8 @@
             return
         working = sum(
             since is not None for since in self.since_by_flow.values())
-        if working >= slots:
-            self.crowded.add(flow)
+        if working - len(self.queued) >= slots:
+            self.queued[flow] = None
         self.since_by_flow[flow] = now
         self.reserved_by_flow[flow] = now
 
@@ -59,9 +62,14 @@
             return False
         since = self.since_by_flow.pop(flow)
         del self.reserved_by_flow[flow]
-        crowded = flow in self.crowded
-        self.crowded.discard(flow)
-        if answered and since is not None and not crowded:
+        if flow in self.queued:
+            del self.queued[flow]
+            return True
+        if since is not None and self.queued:
+            following = next(iter(self.queued))
+            del self.queued[following]
+            self.since_by_flow[following] = now
+        if answered and since is not None:
             self._learn((now - since) * 1000)
         return True
 
@@ -83,7 +91,7 @@
         r"""Forget all flows; the target has restarted."""
         self.since_by_flow.clear()
         self.reserved_by_flow.clear()
-        self.crowded.clear()
+        self.queued.clear()
 
     def load(self, waiting, slots):
         r"""Return the ``Load`` that answers report."""
