End the offers of a flow when an earlier one was taken after all

Cause: found in reading the diff. A late answer to an offer that had counted as unanswered left the later offer or the next round going, so a second target got a flow that the first one held.

Change: any answer that a flow is held ends its offers and rounds.

Both cases of the new test fail without the change.

--- a/poplarstep/steering/balancer.py
+++ b/poplarstep/steering/balancer.py
@@ -123,7 +123,11 @@
     offered = tracked.offered_to
     if offered is not None and offered.agent == event.source:
         state.placement.answered(offered.number, answer.load, now)
-        offers.stop_offering(state, answer.flow, tracked)
+    elif offered is not None:
+        # An earlier offer was taken after all; this one is not needed.
+        state.placement.withdrawn(offered.number)
+    offers.stop_offering(state, answer.flow, tracked)
+    state.parked.pop(answer.flow, None)
     tracked.agent = event.source
     tracked.finds = 0
     return []
--- a/poplarstep/steering/placement.py
+++ b/poplarstep/steering/placement.py
@@ -67,10 +67,15 @@
         r"""Count an offer that is on its way."""
         self.known(number).pending += 1
 
+    def withdrawn(self, number):
+        r"""Forget an offer whose answer is not awaited any more."""
+        known = self.known(number)
+        known.pending = max(0, known.pending - 1)
+
     def answered(self, number, load, now):
         r"""Take in the load that came with an answer."""
+        self.withdrawn(number)
         known = self.known(number)
-        known.pending = max(0, known.pending - 1)
         known.backlog = load.backlog
         known.reported_at = now
         known.silences = 0
@@ -80,8 +85,8 @@
 
     def silent(self, number, now):
         r"""Avoid a target that did not answer an offer in time."""
+        self.withdrawn(number)
         known = self.known(number)
-        known.pending = max(0, known.pending - 1)
         known.avoid_until = now + min(
             MAXIMUM_SILENCE_MS, SILENCE_MS * 2 ** known.silences)
         known.silences += 1
--- a/poplarstep/steering/tests/test_balancer.py
+++ b/poplarstep/steering/tests/test_balancer.py
@@ -229,3 +229,21 @@
                 message.DATA_CENTRE_OUT), 61)
     assert worlds.FLOW not in state.tracked_by_flow
     assert bool(refusals(effects)) is reset
+
+
+@pytest.mark.parametrize('parked', [False, True])
+def test_late_answer_of_an_earlier_offer_ends_the_offers(parked):
+    """Guards against a flow that is offered on while a target holds it."""
+    state = worlds.make_balancer()
+    first, = destinations(arrive(state, opening=True))
+    effects = list(balancer.STEER.process(state, TICK, 60))
+    second, = destinations(effects)
+    if parked:
+        effects = tell(state, second, not_taken(message.ABSENT), 61)
+        third, = destinations(effects)
+        assert tell(state, third, not_taken(message.ABSENT), 62) == []
+    tell(state, first, message.Held(worlds.FLOW, worlds.IDLE_LOAD), 63)
+    late = tell(state, second, not_taken(message.BUSY), 64)
+    later = list(balancer.STEER.process(state, TICK, 200))
+    assert late == [] and later == []
+    assert destinations(arrive(state, data=5, now=201)) == [first]
