Make the test of abandoned places fail without the mechanism

Found by switching off nine mechanisms one at a time; the tests of the other eight failed as they should.

Change: the test fills all places first; with 1.6 s it now fails.

--- a/poplarstep/steering/tests/test_agent.py
+++ b/poplarstep/steering/tests/test_agent.py
@@ -214,9 +214,12 @@
 def test_abandoned_flow_frees_its_place():
     """Guards against a target that stays idle for callers that left."""
     state = worlds.make_agent()
-    worlds.ask_agent(state, worlds.offer())
-    worlds.ask_agent(state, worlds.offer(
-        worlds.flow_number(5), may_wait=True, patience_ms=9000))
+    handed = []
+    for number in range(3):
+        handed += worlds.to_target(worlds.ask_agent(state, worlds.offer(
+            worlds.flow_number(number), may_wait=True, patience_ms=9000)))
+        handed += worlds.to_target(agent.HOLD.process(state, TICK, 20))
+    assert len(handed) == 1 + agent.AHEAD and state.waiting == 1
     effects = agent.HOLD.process(state, TICK, 150)
     assert worlds.to_target(effects) == [b'opening']
 
