Act on a control host only under the lease, and as it is now

(1) A statement about control hosts that reached a leader whose lease had lapsed was turned into 'remove NAME', expecting a refusal; the log still accepted it, so the named host was removed. (2) A host counted as in force for 5 s after it had said hello, also when it was lost since; a leader elected meanwhile answered 'applied' and changed nothing. Change: without the lease the statement is not taken; only an answer to this leader proves a host in force; a member that only said hello is 'host-not-answered-yet', and the tool asks again.

--- a/poplarstep/configuration/command.py
+++ b/poplarstep/configuration/command.py
@@ -18,6 +18,11 @@
 # This control host's log did not take this copy of the command. Another copy
 # may be in the log, so it is no refusal of the command itself.
 NOT_TAKEN = 'not-taken'
+# Reasons for which the same command may soon be taken, by this host or by
+# another one.
+NOT_LEADER = 'not-leader'
+NOT_ANSWERED = 'host-not-answered-yet'
+PASSING_REASONS = frozenset((NOT_LEADER, NOT_ANSWERED))
 # Base of a command that does not depend on what the operator looked at.
 ANY_VERSION = 2**62
 
--- a/poplarstep/control/hosts.py
+++ b/poplarstep/control/hosts.py
@@ -48,9 +48,8 @@
     if planner is None:
         return [event]
     if not states.read_allowed(state.replica, now):
-        # The replica refuses it and names the leader.
-        return [consensus.ChangeMembership(
-            event.key, 'remove', event.statement.name)]
+        return [_reply(
+            state, event, command.NOT_TAKEN, command.NOT_LEADER)]
     if state.replica.log.members_index > state.replica.commit_index:
         # It may be this very change, sent before; a resend will tell.
         return [_reply(state, event, command.UNKNOWN, 'change-in-progress')]
@@ -62,7 +61,8 @@
 
 def _reply(state, event, status, reason):
     return message.CommandReply(event.key, command.Outcome(
-        status, state.machine.catalogue.version, reason), '')
+        status, state.machine.catalogue.version, reason),
+        states.leader_name(state.replica))
 
 
 def _settled(status, reason):
@@ -77,6 +77,9 @@
 def _add(state, asked, now):
     if _in_force(state.replica, asked.name, now):
         return _settled(command.APPLIED, IN_FORCE)
+    if _is_member_again(state.replica, asked.name, now):
+        # In force if the host still lives; its next answer will tell.
+        return _settled(command.NOT_TAKEN, command.NOT_ANSWERED)
     return _proposed('add', asked.name)
 
 
@@ -118,18 +121,34 @@
 def _in_force(replica, name, now):
     r"""Return whether the host is a member with the disk that it has now.
 
-    A fresh ``Hello`` from another disk means that the host was lost; a
-    host that has a leader sends none and answers heartbeats.
+    Only an answer to this leader proves that. A ``Hello`` may be of a run
+    that has ended since; it counts against the host when it came from
+    another disk.
     """
     members = _members(replica, name)
     if not members:
         return False
     identity = members[0].identity
-    applicant = replica.applicant_by_name.get(name)
-    if applicant is not None and (
-            now - applicant.heard_at <= membership.APPLICANT_MS):
-        return applicant.identity == identity
+    applicant = _fresh_applicant(replica, name, now)
+    if applicant is not None and applicant.identity != identity:
+        return False
     progress = replica.progress_by_identity.get(identity)
     return identity == replica.identity or (
         progress is not None and progress.answered is not None
         and now - progress.answered <= ANSWERING_MS)
+
+
+def _is_member_again(replica, name, now):
+    r"""Return whether the host asked to join with the disk of a member."""
+    applicant = _fresh_applicant(replica, name, now)
+    return applicant is not None and any(
+        member.identity == applicant.identity
+        for member in replica.log.members)
+
+
+def _fresh_applicant(replica, name, now):
+    applicant = replica.applicant_by_name.get(name)
+    if applicant is None or (
+            now - applicant.heard_at > membership.APPLICANT_MS):
+        return None
+    return applicant
--- a/poplarstep/control/tests/test_hosts.py
+++ b/poplarstep/control/tests/test_hosts.py
@@ -7,18 +7,18 @@
 import pytest
 
 from standins import deployment
+from standins import network as networks
 from standins import processes as children
 
-NETWORK = 45
 WAIT_S = 10
 
 
 @pytest.fixture
 def hosts(tmp_path):
     r"""Three control hosts that form a group."""
-    layout = deployment.make_layout(
-        deployment.PLAN_BY_NAME['nile-hood'], str(tmp_path), NETWORK)
-    with open(os.devnull, 'wb') as log:
+    with open(os.devnull, 'wb') as log, networks.reserve() as network:
+        layout = deployment.make_layout(
+            deployment.PLAN_BY_NAME['nile-hood'], str(tmp_path), network)
         started = children.make_processes(layout, log)
         try:
             for index in range(layout.controls):
--- a/poplarstep/programs/tests/test_tool.py
+++ b/poplarstep/programs/tests/test_tool.py
@@ -14,6 +14,8 @@
            'leader': ''}
 NOT_LEADER = {'status': 'not-taken', 'version': 4, 'reason': 'not-leader',
               'leader': 'control-1'}
+NOT_ANSWERED = {'status': 'not-taken', 'version': 4,
+                'reason': 'host-not-answered-yet', 'leader': ''}
 UNKNOWN = {'status': 'unknown', 'version': 4, 'reason': 'leadership was '
            'lost', 'leader': ''}
 FULL = {'status': 'not-taken', 'version': 4, 'reason': 'in-flight-full',
@@ -34,6 +36,8 @@
     (COMMAND, [APPLIED], 0, 'applied'),
     (COMMAND, [REFUSED], 1, 'stale'),
     (COMMAND, [NOT_LEADER, None, APPLIED], 0, 'applied'),
+    (COMMAND, [NOT_ANSWERED, None, APPLIED], 0, 'applied'),
+    (COMMAND, [NOT_ANSWERED, FULL], 1, 'in-flight-full'),
     (COMMAND, [{'error': 'not a command'}], 2, 'not a command'),
     (COMMAND, [UNKNOWN], 3, '--client me --sequence 7'),
     (COMMAND, [NOT_LEADER], 1, 'no control host could take'),
--- a/poplarstep/programs/tool.py
+++ b/poplarstep/programs/tool.py
@@ -21,7 +21,6 @@
 ATTEMPT_TIMEOUT_S = 6
 PROBE_TIMEOUT_S = 0.5
 PAUSE_S = 0.1
-NOT_LEADER = 'not-leader'
 EXIT_CODES = """
 \b
 Exit codes:
@@ -96,7 +95,7 @@
         if reply['status'] == command.REFUSED:
             return _outcome(answers.EXIT_REFUSED, reply)
         seen.add(reply['status'])
-        if reply.get('reason') != NOT_LEADER and (
+        if reply.get('reason') not in command.PASSING_REASONS and (
                 command.UNKNOWN not in seen):
             # The leader refuses, and no other copy can be in a log.
             return _outcome(answers.EXIT_REFUSED, {
