Let control hosts without a disk take part as observers

Two control hosts a data centre give six voters there; on the other deployments the second host has no disk, and a control host without a data folder did not run. Ruled out: a majority of three that waits for all (one loss would stop changes); choosing the count by deployment (one deploy file serves all). Change: data-folder 'none' makes an observer: it never votes or stores, relays the configuration, names the leader, and is a seed like any other. The first seed with a disk founds the group; if no seed has one, the first seed appoints a founder once. Members keep telling observers where they are.

--- a/poplarstep/consensus/handlers.py
+++ b/poplarstep/consensus/handlers.py
@@ -66,6 +66,9 @@
         return [received]
     if not state.storage_ready:
         return []
+    if state.observer and kind not in GROUPLESS:
+        # Meant for a member that had this address before.
+        return []
     if not _belongs(state, received.message):
         state.counters.foreign_messages += 1
         return []
--- a/poplarstep/consensus/membership.py
+++ b/poplarstep/consensus/membership.py
@@ -66,6 +66,8 @@
     applicant = state.applicant_by_name.get(name)
     if applicant is None or now - applicant.heard_at > APPLICANT_MS:
         return result.Failure('not-heard')
+    if applicant.observer:
+        return result.Failure('no-disk')
     if any(member.identity == applicant.identity
            for member in state.log.members):
         return result.Failure('already-member')
--- a/poplarstep/consensus/model/cluster.py
+++ b/poplarstep/consensus/model/cluster.py
@@ -40,7 +40,7 @@
     __slots__ = (
         'name', 'address', 'disk', 'state', 'offset', 'rate', 'epoch',
         'paused', 'waiting', 'applied_index', 'digest', 'snapshot_index',
-        'crash_in', 'bootstrap')
+        'crash_in', 'bootstrap', 'observer')
 
     def __init__(self, name, inbox, generator):
         self.name = name
@@ -57,6 +57,7 @@
         self.snapshot_index = 0
         self.crash_in = None
         self.bootstrap = True
+        self.observer = False
 
     def clock(self, true_time):
         return self.offset + int(true_time * self.rate)
@@ -78,6 +79,8 @@
         The leader adds and removes hosts by itself.
     seed_count : int or None
         Hosts that are configured as seeds, the first ones; all by default.
+    observers : collection of int
+        Numbers of the hosts that have no disk.
     """
 
     __slots__ = (
@@ -87,7 +90,7 @@
 
     def __init__(
             self, size, seed, mechanisms=None, skipped=(), automatic=False,
-            seed_count=None):
+            seed_count=None, observers=()):
         self.automatic = automatic
         self.seed_count = seed_count
         self.random = random.Random(seed)
@@ -103,7 +106,8 @@
         self.log_changes = []
         self.host_by_name = {}
         for number in range(size):
-            self.add_host('control-%d' % number)
+            host = self.add_host('control-%d' % number)
+            host.observer = number in observers
         for host in self.hosts:
             self.start(host)
 
@@ -136,13 +140,15 @@
         host.applied_index = host.digest = host.snapshot_index = 0
         host.crash_in = None
         host.state = replica.make_replica(
-            message.HostIdentity(host.name, held.identity), host.address,
+            message.HostIdentity(
+                host.name, '' if host.observer else held.identity),
+            host.address,
             tuple(states.Seed(item.name, item.address)
                   for item in self.hosts[:self.seed_count]),
             host.bootstrap, random.Random(self.random.getrandbits(64)),
             host.clock(self.now), held.term, held.voted_for, held.snapshot,
             tuple(held.entries), self.mechanisms, KEPT_ENTRIES,
-            self.automatic, held.commit_index)
+            self.automatic, held.commit_index, host.observer)
         self.carry_out(host, replica.start(host.state))
         self.at(self.random.randint(1, 50), self.tick, host, host.epoch)
 
--- a/poplarstep/consensus/peer.py
+++ b/poplarstep/consensus/peer.py
@@ -169,18 +169,22 @@
         Group of the sender's data folder, empty if it has none.
     bootstrap : bool
         Whether the sender was started to form a new group.
+    observer : bool
+        The sender has no disk and is never a member.
     """
 
-    __slots__ = ('sender', 'inbox', 'group', 'term', 'bootstrap')
+    __slots__ = (
+        'sender', 'inbox', 'group', 'term', 'bootstrap', 'observer')
 
     def __init__(
             self, sender: message.HostIdentity, inbox: address.Address,
-            group: str, term: int, bootstrap: bool):
+            group: str, term: int, bootstrap: bool, observer: bool = False):
         self.sender = sender
         self.inbox = inbox
         self.group = group
         self.term = term
         self.bootstrap = bootstrap
+        self.observer = observer
 
 
 class HelloReply(record.Record):
@@ -188,18 +192,22 @@
 
     ``founders`` is the first membership of the group while the sender's
     snapshot still holds it, otherwise empty. ``members`` are the inboxes of
-    the present members; one of them leads.
+    the present members; one of them leads. An observer names the hosts with
+    a disk that it knows, and as ``appointed`` the one that shall found the
+    group.
     """
 
     __slots__ = (
         'sender', 'inbox', 'group', 'term', 'bootstrap', 'founders',
-        'members')
+        'members', 'observer', 'appointed')
 
     def __init__(
             self, sender: message.HostIdentity, inbox: address.Address,
             group: str, term: int, bootstrap: bool,
             founders: tuple[message.Member, ...],
-            members: tuple[address.Address, ...] = ()):
+            members: tuple[address.Address, ...] = (),
+            observer: bool = False,
+            appointed: message.HostIdentity | None = None):
         self.sender = sender
         self.inbox = inbox
         self.group = group
@@ -207,6 +215,8 @@
         self.bootstrap = bootstrap
         self.founders = founders
         self.members = members
+        self.observer = observer
+        self.appointed = appointed
 
 
 # Classes for the codec of the links between control hosts.
--- a/poplarstep/consensus/replica.py
+++ b/poplarstep/consensus/replica.py
@@ -58,7 +58,7 @@
     if not state.storage_ready:
         return persistence.probe_storage(state, now)
     effects = bootstrap.tick(state, now)
-    if not state.group:
+    if not state.group or state.observer:
         return effects
     if state.role == states.LEADER:
         effects.extend(replication.lead(state, now))
--- a/poplarstep/consensus/state.py
+++ b/poplarstep/consensus/state.py
@@ -102,11 +102,14 @@
 class Applicant(record.Record):
     r"""Host that said ``Hello``; ``heard_at`` in ms."""
 
-    __slots__ = ('identity', 'address', 'group', 'bootstrap', 'heard_at')
+    __slots__ = (
+        'identity', 'address', 'group', 'bootstrap', 'heard_at', 'observer')
 
     def __init__(
             self, identity: message.HostIdentity, address: address.Address,
-            group: str, bootstrap: bool, heard_at: int):
+            group: str, bootstrap: bool, heard_at: int,
+            observer: bool = False):
+        self.observer = observer
         self.identity = identity
         self.address = address
         self.group = group
@@ -137,7 +140,8 @@
         'stored_index', 'progress_by_identity', 'heartbeat_due',
         'lease_until', 'key_by_index', 'applicant_by_name', 'hello_due',
         'group_exists', 'incoming', 'storage_ready', 'probe_due', 'marked',
-        'learned_inboxes', 'automatic_membership', 'upkeep_due')
+        'learned_inboxes', 'automatic_membership', 'upkeep_due',
+        'observer', 'appointed', 'observer_hello_due')
 
     @property
     def group(self):
@@ -165,7 +169,7 @@
         identity, inbox, seeds, bootstrap, generator, now, term=0,
         voted_for=None, snapshot=None, entries=(), mechanisms=None,
         kept_entries=log.KEPT_ENTRIES, automatic_membership=False,
-        commit_index=0):
+        commit_index=0, observer=False):
     r"""Return the state of a replica, fresh or from what storage loaded.
 
     Parameters
@@ -190,8 +194,11 @@
     automatic_membership : bool
         The leader adds hosts that ask to join and removes lost ones; no
         operator is needed.
+    observer : bool
+        The host has no disk: it knows the members and is never one.
     """
     state = ReplicaState()
+    state.observer = observer
     state.mechanisms = mechanisms or Mechanisms()
     state.identity = identity if state.mechanisms.disk_identity else (
         message.HostIdentity(identity.name, ''))
@@ -208,6 +215,7 @@
         state.log.base_index, min(commit_index, state.log.last_index))
     state.vote_after = now + ELECTION_MINIMUM_MS
     state.hello_due = state.probe_due = state.upkeep_due = now
+    state.observer_hello_due = now
     state.automatic_membership = automatic_membership
     _set_defaults(state)
     restart_election_timer(state, now)
@@ -219,6 +227,7 @@
     state.applicant_by_name = {}
     state.learned_inboxes = ()
     state.group_exists = False
+    state.appointed = None
     state.incoming = None
     state.storage_ready = True
     state.announced = ('', 0, False)
--- /dev/null
+++ b/poplarstep/consensus/tests/test_observers.py
@@ -0,0 +1,124 @@
+"""Tests of control hosts that have no disk."""
+
+import pytest
+
+from poplarstep.consensus import bootstrap
+from poplarstep.consensus import message
+from poplarstep.consensus.model import cluster as clusters
+from poplarstep.consensus import peer
+from poplarstep.consensus import state as states
+from poplarstep.core import effect
+
+SEEDS = range(6)
+# A host counts as back when it has had this time.
+CATCH_UP_MS = 4000
+FOUNDING_MS = 8000
+SHAPES = (
+    # hosts, of which have no disk; the first three are the seeds
+    (4, (0,)),
+    (4, (1,)),
+    (4, (2,)),
+    (5, (0, 1)),
+    (6, (0, 1, 2)),
+    (8, (0, 1, 2, 5)),
+    (6, (3, 4, 5)),
+)
+
+
+def make(size, observers, seed):
+    """Return a running cluster whose hosts with a disk are all voters."""
+    cluster = clusters.Cluster(
+        size, seed, automatic=True, seed_count=3, observers=observers)
+    assert cluster.run(FOUNDING_MS, lambda: settled(cluster))
+    return cluster
+
+
+def settled(cluster):
+    """Return whether just the hosts with a disk are voters, durably."""
+    leader = cluster.holder()
+    if leader is None:
+        return False
+    voters = {identity.name for identity in leader.state.voters}
+    wanted = {host.name for host in cluster.hosts if not host.observer}
+    return voters == wanted and (
+        leader.state.log.members_index <= leader.state.commit_index)
+
+
+def groups(cluster):
+    """Return the groups that hosts belong to."""
+    return {host.state.group for host in cluster.live if host.state.group}
+
+
+def knows_members(cluster, host):
+    """Return whether an observer knows all hosts with a disk."""
+    known = bootstrap.known_inboxes(host.state, host.clock(cluster.now))
+    return {item.address for item in cluster.hosts
+            if not item.observer} <= set(known)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('size, observers', SHAPES)
+def test_hosts_with_a_disk_form_one_group(size, observers, seed):
+    """Guards against a group that waits for hosts that can't join it."""
+    cluster = make(size, observers, seed)
+    assert len(groups(cluster)) == 1
+    cluster.run(2000)
+    assert settled(cluster)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('size, observers', [
+    shape for shape in SHAPES if 0 in shape[1]])
+def test_restarts_form_no_second_group(size, observers, seed):
+    """Guards against hosts that found again after all were killed."""
+    cluster = make(size, observers, seed)
+    before = groups(cluster)
+    for host in cluster.hosts:
+        host.bootstrap = False
+        cluster.crash(host)
+    victim = cluster.hosts[-1]
+    if not victim.observer:
+        cluster.wipe(victim)
+    cluster.run(700)
+    for host in cluster.hosts:
+        cluster.start(host)
+    assert cluster.run(FOUNDING_MS, lambda: settled(cluster))
+    assert groups(cluster) == before
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+@pytest.mark.parametrize('size, observers', [
+    shape for shape in SHAPES if 0 in shape[1]])
+def test_observers_find_the_members_again(size, observers, seed):
+    """Guards against observers that stay lost once a leader is known."""
+    cluster = make(size, observers, seed)
+    hosts = [host for host in cluster.hosts if host.observer]
+    for host in hosts:
+        host.bootstrap = False
+        cluster.crash(host)
+    cluster.run(3000)
+    for host in hosts:
+        cluster.start(host)
+    assert cluster.run(CATCH_UP_MS, lambda: all(
+        knows_members(cluster, host) for host in hosts))
+
+
+@pytest.mark.parametrize('asked', [
+    peer.RequestVote(
+        message.HostIdentity('control-1', 'disk-1'), '', 9, False, 0, 0),
+    peer.AppendEntries(
+        message.HostIdentity('control-1', 'disk-1'),
+        message.HostIdentity('control-0', ''), '', 9, 0, 0, (), 0, 0),
+], ids=['vote', 'entries'])
+def test_observer_gives_no_vote_and_stores_nothing(asked):
+    """Guards against promises of a host that can't keep them."""
+    cluster = clusters.Cluster(
+        2, 1, automatic=True, seed_count=1, observers=(0,))
+    observer = cluster.hosts[0]
+    source = cluster.hosts[1].address
+    effects = clusters.replica.REPLICA.process(
+        observer.state, effect.Received(source, asked),
+        observer.clock(5000))
+    assert effects == []
+    assert observer.state.role == states.FOLLOWER
+    assert observer.state.term == 0
--- a/poplarstep/dissemination/route.py
+++ b/poplarstep/dissemination/route.py
@@ -96,6 +96,32 @@
         self.leader_until = now + LEADER_HINT_MS
 
 
+@ROUTES.register('observer')
+class ObserverRoute(SeedRoute):
+    r"""Upstreams of a control host without a disk.
+
+    The configured seeds may all be such hosts, which know the others by
+    what these say to them.
+
+    Parameters
+    ==========
+
+    known : callable
+        Takes ``now`` and returns the inboxes of hosts with a disk.
+    """
+
+    __slots__ = ('known',)
+
+    def __init__(self, node, seeds, known):
+        super().__init__(node, seeds)
+        self.known = known
+
+    def destination(self, now):
+        r"""Return the inbox to poll."""
+        self.learn(self.known(now))
+        return super().destination(now)
+
+
 @ROUTES.register('leader')
 class LeaderRoute:
     r"""The control leader as this control host knows it.
--- a/poplarstep/dissemination/subscriber.py
+++ b/poplarstep/dissemination/subscriber.py
@@ -49,13 +49,18 @@
     lease_only : bool
         The catalogue is fed by the replicated log; only the lease is
         taken from updates.
+    leader : Address or None
+        Inbox of the control leader, as the latest update named it.
+    control_hosts : tuple of Address
+        Inboxes of the control hosts, as the latest update named them.
     """
 
     __slots__ = (
         'node', 'role', 'incarnation', 'catalogue', 'route', 'lease_only',
         'sequence', 'sent_at', 'waiting', 'not_before', 'pause_ms',
         'lease_until', 'pending_version', 'pending_until', 'gathered',
-        'own_announcement', 'own_shown', 'reporting', 'confirmed')
+        'own_announcement', 'own_shown', 'reporting', 'confirmed',
+        'leader', 'control_hosts')
 
     def __init__(
             self, node, role, incarnation, catalogue, upstream_route,
@@ -79,6 +84,8 @@
         self.own_shown = False
         self.reporting = ()
         self.confirmed = False
+        self.leader = None
+        self.control_hosts = ()
 
 
 def make_subscriber(
@@ -90,6 +97,19 @@
         gathering.Gathering() if gathered is None else gathered, False)
 
 
+def make_observer(
+        node, incarnation, catalogue, upstreams, known, gathered):
+    r"""Return the state of a control host without a disk.
+
+    ``known`` takes ``now`` and returns the inboxes of control hosts that
+    have a disk, as this host knows them.
+    """
+    return SubscriberState(
+        node, 'control', incarnation, catalogue,
+        route.ROUTES.entry_by_name['observer'](node, upstreams, known),
+        gathered, False)
+
+
 def make_follower(node, incarnation, catalogue, leader, gathered):
     r"""Return the state by which a control host asks for its lease.
 
@@ -162,6 +182,8 @@
     state.waiting = False
     gathering.reported(state.gathered, state.reporting)
     state.route.learn(update.upstreams)
+    state.leader = update.leader
+    state.control_hosts = update.upstreams or state.control_hosts
     changed = _take_in(state, update)
     _judge_upstream(state, event.source, update, now)
     messages = _lease_change(state, now)
--- a/poplarstep/programs/control.py
+++ b/poplarstep/programs/control.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from poplarstep.configuration import machine as machines
+from poplarstep.consensus import bootstrap
 from poplarstep.consensus import message as consensus
 from poplarstep.consensus import replica as replicas
 from poplarstep.consensus import state as consensus_states
@@ -26,6 +27,7 @@
 from poplarstep.language import parser
 from poplarstep.language import statement as statements
 from poplarstep.programs import node as nodes
+from poplarstep.programs import settings as setting_table
 from poplarstep.programs import waiters
 
 # An operator's request that the log has not decided by then is answered
@@ -58,7 +60,7 @@
         Takes the node, its ``Waiters`` and a function that returns the
         leader's inbox; adds the operator interface of another front end.
     """
-    opened = storages.open_folder(settings['data-folder'])
+    opened = open_storage(settings)
     if isinstance(opened, result.Failure):
         return opened
     storage = opened.unwrap()
@@ -69,7 +71,8 @@
         return links
     links = links.unwrap()
     replica = make_replica(settings, storage.loaded)
-    pipeline, machine, gathered = make_pipeline(settings, replica)
+    pipeline, machine, gathered, subscribed = make_pipeline(
+        settings, replica)
     waiting = waiters.Waiters()
     node.timers.subscribe(
         replicas.TICK.name, replicas.TICK_MS, clock.now_ms())
@@ -83,11 +86,12 @@
         ('control_leads', {}, int(replica.role == consensus_states.LEADER)),
     ])
     node.status = lambda: _status(replica, machine)
-    node.ready = lambda: replica.leader is not None
+    node.ready = lambda: leader_inbox(replica, subscribed) is not None
     node.closers.append(storage.close)
     _register_operator_routes(node, waiting)
     if register_front_end is not None:
-        register_front_end(node, waiting, lambda: leader_inbox(replica))
+        register_front_end(
+            node, waiting, lambda: leader_inbox(replica, subscribed))
     finished = nodes.finish(
         node, pipeline, make_performers(storage, links, waiting), links, {})
     if not isinstance(finished, result.Failure):
@@ -95,6 +99,34 @@
     return finished
 
 
+class NoStorage:
+    r"""Stands in for the data folder of a host that never writes."""
+
+    __slots__ = ('loaded',)
+
+    def __init__(self):
+        self.loaded = storages.Loaded('', 0, None, None, ())
+
+    def perform(self, item):
+        r"""Refuse to store; a host without a disk must promise nothing."""
+        return result.Failure('this host has no disk')
+
+    def close(self):
+        r"""Do nothing; nothing is open."""
+
+
+def is_observer(settings):
+    r"""Return whether this control host has no disk."""
+    return settings['data-folder'] == setting_table.NO_FOLDER
+
+
+def open_storage(settings):
+    r"""Return ``Success(storage)`` or ``Failure(message)``."""
+    if is_observer(settings):
+        return result.Success(NoStorage())
+    return storages.open_folder(settings['data-folder'])
+
+
 def make_replica(settings, loaded):
     r"""Return the replica state that continues from a data folder."""
     return replicas.make_replica(
@@ -104,7 +136,7 @@
         clock.now_ms(), loaded.term, loaded.voted_for, loaded.snapshot,
         loaded.entries,
         automatic_membership=settings['membership'] == 'automatic',
-        commit_index=loaded.commit_index)
+        commit_index=loaded.commit_index, observer=is_observer(settings))
 
 
 def make_pipeline(settings, replica):
@@ -114,7 +146,7 @@
     =======
 
     tuple
-        ``(Pipeline, Machine, Gathering)``.
+        ``(Pipeline, Machine, Gathering, SubscriberState)``.
     """
     machine = machines.Machine()
     gathered = gathering.Gathering()
@@ -123,16 +155,14 @@
     def current(now):
         return replicas.read_allowed(replica, now)
 
-    followed = subscriber.make_follower(
-        settings['node'], nodes.new_incarnation(), machine.catalogue,
-        lambda: other_leader_inbox(replica), gathered)
+    subscribed = make_subscriber(settings, replica, machine, gathered)
     published = publisher.make_publisher(
         machine.catalogue, gathered,
         lambda now: publisher.LEASE_MS if current(now)
-        else subscriber.lease_left(followed, now),
-        lambda: leader_inbox(replica),
-        upstreams=lambda: tuple(
-            member.address for member in replica.log.members))
+        else subscriber.lease_left(subscribed, now),
+        lambda: leader_inbox(replica, subscribed),
+        publisher.RELAY_HOLD_MS if replica.observer else publisher.HOLD_MS,
+        lambda: control_inboxes(replica, subscribed))
     pipeline = stage.Pipeline([
         (query.QUERY, query.make_query_state(
             machine, gathered, current,
@@ -144,25 +174,54 @@
         (replicas.REPLICA, replica),
         (application.APPLY, application.make_application(
             machine, commands.decode, commands.encode, commands.decode)),
-        (subscriber.SUBSCRIBER, followed),
+        (subscriber.SUBSCRIBER, subscribed),
         (publisher.PUBLISHER, published),
     ])
-    return pipeline, machine, gathered
+    return pipeline, machine, gathered, subscribed
+
 
+def make_subscriber(settings, replica, machine, gathered):
+    r"""Return the state by which a control host gets its lease.
 
-def leader_inbox(replica):
+    A member gets the configuration from the log; a host without a disk gets
+    it from the members, as any other node does.
+    """
+    if not replica.observer:
+        return subscriber.make_follower(
+            settings['node'], nodes.new_incarnation(), machine.catalogue,
+            lambda: other_leader_inbox(replica), gathered)
+    own = settings['control-address']
+    seeds = tuple(
+        seed.address for seed in settings['control-hosts']
+        if seed.address != own)
+    return subscriber.make_observer(
+        settings['node'], nodes.new_incarnation(), machine.catalogue,
+        seeds or (own,),
+        lambda now: bootstrap.known_inboxes(replica, now), gathered)
+
+
+def leader_inbox(replica, subscribed):
     r"""Return the inbox of the leader, or None while there is none."""
+    if replica.observer:
+        return subscribed.leader
     for member in replica.log.members:
         if member.identity == replica.leader:
             return member.address
     return None
 
 
+def control_inboxes(replica, subscribed):
+    r"""Return the inboxes of the members, as far as this host knows."""
+    if replica.observer:
+        return subscribed.control_hosts
+    return tuple(member.address for member in replica.log.members)
+
+
 def other_leader_inbox(replica):
     r"""Return the inbox of the leader if it is another host, or None."""
     if replica.leader == replica.identity:
         return None
-    return leader_inbox(replica)
+    return leader_inbox(replica, None)
 
 
 def control_rows(replica):
--- a/poplarstep/programs/settings.py
+++ b/poplarstep/programs/settings.py
@@ -30,6 +30,8 @@
 NUMBER_PATTERN = re.compile('[0-9]{1,15}')
 DECIMAL_PATTERN = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 MINIMUM_KEY_BYTES = 16
+# Data folder of a control host that has no disk.
+NO_FOLDER = 'none'
 
 KINDS = registry.Registry('kind of setting')
 
@@ -138,7 +140,8 @@
             ('operator', 'automatic'), ('control',),
             'who adds and removes control hosts'),
     Setting('data-folder', 'text', None, '', (), ('control',),
-            'folder of the replicated log'),
+            'folder of the replicated log; "none" for a host without a '
+            'disk, which is never a member and passes on what it hears'),
     Setting('control-hosts', 'seeds', None, '', (), ('control',),
             'NAME=IP:PORT of all control hosts, comma separated'),
     Setting('start', 'word', 'join', '', ('bootstrap', 'join'),
