Give opaque flows an interface of the project's own

Cause: the daemon's roles flow-balancer and flow-agent could only be used through another platform's front end: nothing took a target's heartbeat or a whole configuration, though README offers them. Ruled out: more statements in the command language for every route (a whole configuration is one document with one revision).

--- a/poplarstep/programs/control.py
+++ b/poplarstep/programs/control.py
@@ -27,6 +27,7 @@
 from poplarstep.language import parser
 from poplarstep.language import statement as statements
 from poplarstep.programs import node as nodes
+from poplarstep.programs import operator_interface
 from poplarstep.programs import settings as setting_table
 from poplarstep.programs import waiters
 
@@ -90,6 +91,7 @@
     node.ready = lambda: leader_inbox(replica, subscribed) is not None
     node.closers.append(storage.close)
     _register_operator_routes(node, waiting)
+    operator_interface.register(node, waiting)
     if register_front_end is not None:
         register_front_end(
             node, waiting, lambda: leader_inbox(replica, subscribed))
--- a/poplarstep/programs/flow_agent.py
+++ b/poplarstep/programs/flow_agent.py
@@ -9,6 +9,7 @@
 from poplarstep.edge import wire
 from poplarstep.programs import flow_balancer
 from poplarstep.programs import node as nodes
+from poplarstep.programs import target_interface
 from poplarstep.programs import waiters
 from poplarstep.steering import assembly
 from poplarstep.steering import message
@@ -57,6 +58,7 @@
     node.leave = lambda: _leave(node, held)
     waiting = waiters.Waiters()
     node.exporter.add_histogram('heartbeat_ms', waiting.answer_ms)
+    target_interface.register(node, waiting)
     if register_front_end is not None:
         register_front_end(node, waiting)
     return nodes.finish(
--- a/poplarstep/programs/tests/test_tool.py
+++ b/poplarstep/programs/tests/test_tool.py
@@ -63,7 +63,7 @@
     sent = []
 
     def post(control, path, body):
-        sent.append(body)
+        sent.append(json.loads(body))
         return waiting.pop(0) if len(waiting) > 1 else waiting[0]
 
     monkeypatch.setattr(tool, '_post', post)
--- a/poplarstep/programs/tool.py
+++ b/poplarstep/programs/tool.py
@@ -79,13 +79,31 @@
     """
     sequence = session.sequence
     session.sequence += 1
-    body = {
+    body = json.dumps({
         'client': session.client,
         'sequence': sequence,
         'text': statements.format_statement(statement),
-    }
+    })
+    return _decide(session, '/command', body, sequence)
+
+
+def run_configuration(session, document):
+    r"""Replace the whole configuration and return its ``Answer``.
+
+    Parameters
+    ==========
+
+    document : bytes
+        JSON, see ``operator_interface.ConfigurationBody``. Its revision
+        makes a resend harmless.
+    """
+    return _decide(session, '/configuration', document, session.sequence)
+
+
+def _decide(session, path, body, sequence):
+    r"""Send a command to the control hosts until one has decided it."""
     seen = set()
-    for reply in _attempts(session, '/command', body):
+    for reply in _attempts(session, path, body):
         if reply is None:
             continue
         if reply.get('error'):
@@ -122,7 +140,7 @@
 
 
 def _run_query(session, statement):
-    body = {'text': statements.format_statement(statement)}
+    body = json.dumps({'text': statements.format_statement(statement)})
     best = None
     for reply in _attempts(session, '/query', body):
         if reply is None:
@@ -178,10 +196,10 @@
         return None
     try:
         return requests.post(
-            'http://%s%s' % (control, path), json=body,
+            'http://%s%s' % (control, path), data=body,
             timeout=ATTEMPT_TIMEOUT_S).json()
     except (requests.RequestException, ValueError):
-        if path == '/command':
+        if path != '/query':
             return {'status': command.UNKNOWN}
         return None
 
@@ -239,9 +257,11 @@
               help='sequence of the first command')
 @click.option('--file', 'script', type=click.File('r'),
               help='run the statements of a file')
+@click.option('--configure', type=click.File('rb'),
+              help='replace all routes and services by those of a JSON file')
 @click.argument('words', nargs=-1, shell_complete=_complete)
 def main(control, nodes, history, objectives, output, timeout, client,
-         sequence, script, words):
+         sequence, script, configure, words):
     r"""Run statements of the operators' language.
 
     Without statements it reads them from the terminal, with completion by
@@ -257,6 +277,10 @@
     session.nodes = nodes
     session.history = history
     session.objectives = objectives
+    if configure is not None:
+        answer = run_configuration(session, configure.read())
+        show(answer, output)
+        raise SystemExit(answer.code)
     if script is not None:
         raise SystemExit(_run_text(session, script.read(), output))
     if words:
