Start nodes without what only tools import

The start imported click for one line of output, and site looked for packages that a deployment does not have there. Ruled out: importing the metrics library at the first scrape (no gain beyond noise in 10 runs, since pynng imports asyncio too; reverted).

--- a/poplarstep/programs/serving.py
+++ b/poplarstep/programs/serving.py
@@ -5,7 +5,6 @@
 import sys
 
 from absl import logging
-import click
 import gevent
 from gevent import event as gevent_event
 from returns import result
@@ -25,7 +24,7 @@
     formatter = logs.configure(read)
     built = build(read)
     if isinstance(built, result.Failure):
-        click.echo('cannot start: %s' % built.failure(), err=True)
+        sys.stderr.write('cannot start: %s\n' % built.failure())
         sys.exit(EXIT_CANNOT_START)
     node = built.unwrap()
     formatter.version = lambda: node.status()['version']
