Give up the first polls of a starting node sooner

Ruled out: the election (committed entries are served before it); slow control hosts (they answer within a few ms of their start). Change: without a configuration a poll is given up after 150 ms, each further one after twice as long, up to the usual time; first polls spread over 100 ms; a late answer to a poll of this run is used, without its lease.

--- a/poplarstep/dissemination/subscriber.py
+++ b/poplarstep/dissemination/subscriber.py
@@ -24,14 +24,19 @@
 TICK_PERIOD_MS = 50
 # The publisher holds a poll for 400 ms; the rest allows for delays.
 POLL_TIMEOUT_MS = 1000
+# A node without a configuration serves nothing, and its upstreams may still
+# be starting. Its first poll is given up after this time, each further one
+# after twice as long, up to the usual time.
+STARTING_TIMEOUT_MS = 150
 # After an answer without a confirmation the next poll waits for a pause that
 # doubles up to the maximum. It keeps the nodes from polling in a loop while
 # there is no leader; two pauses and a poll fit into 4 s.
 UNCONFIRMED_PAUSE_MS = 100
 MAXIMUM_PAUSE_MS = 800
 # Nodes that start or fail over together spread their polls over this time.
-FIRST_POLL_SPREAD_MS = 400
+FIRST_POLL_SPREAD_MS = 100
 FAILOVER_SPREAD_MS = 200
+STARTING_SPREAD_MS = 50
 
 SUBSCRIBER = stage.Stage('subscriber')
 
@@ -60,7 +65,8 @@
         'sequence', 'sent_at', 'waiting', 'not_before', 'pause_ms',
         'lease_until', 'pending_version', 'pending_until', 'gathered',
         'own_announcement', 'own_shown', 'reporting', 'confirmed',
-        'leader', 'control_hosts')
+        'leader', 'control_hosts', 'starting_timeout_ms',
+        'first_sequence')
 
     def __init__(
             self, node, role, incarnation, catalogue, upstream_route,
@@ -86,6 +92,8 @@
         self.confirmed = False
         self.leader = None
         self.control_hosts = ()
+        self.starting_timeout_ms = STARTING_TIMEOUT_MS
+        self.first_sequence = incarnation
 
 
 def make_subscriber(
@@ -138,12 +146,8 @@
         return [event]
     _settle(state)
     messages = _lease_change(state, now)
-    if state.waiting and now - state.sent_at >= POLL_TIMEOUT_MS:
-        state.route.failed()
-        gathering.upstream_changed(state.gathered)
-        state.waiting = False
-        state.not_before = now + route.spread(
-            state.node, state.sequence, FAILOVER_SPREAD_MS)
+    if state.waiting and now - state.sent_at >= _poll_timeout_ms(state):
+        _give_up(state, now)
     if state.not_before is None:
         state.not_before = now + route.spread(
             state.node, state.sequence, FIRST_POLL_SPREAD_MS)
@@ -152,6 +156,30 @@
     return messages
 
 
+def _is_starting(state):
+    r"""Return whether this node still has no configuration."""
+    return not state.lease_only and state.catalogue.version == 0
+
+
+def _poll_timeout_ms(state):
+    if _is_starting(state):
+        return min(state.starting_timeout_ms, POLL_TIMEOUT_MS)
+    return POLL_TIMEOUT_MS
+
+
+def _give_up(state, now):
+    r"""Turn to the next upstream, because no answer came."""
+    state.route.failed()
+    gathering.upstream_changed(state.gathered)
+    state.waiting = False
+    spread_ms = FAILOVER_SPREAD_MS
+    if _is_starting(state):
+        state.starting_timeout_ms *= 2
+        spread_ms = STARTING_SPREAD_MS
+    state.not_before = now + route.spread(
+        state.node, state.sequence, spread_ms)
+
+
 @SUBSCRIBER.handles(message.Announced)
 def announced(state, event, now):
     r"""Report this node's own target at once, or in the first poll."""
@@ -178,7 +206,7 @@
         return [event]
     update = event.message
     if not state.waiting or update.sequence != state.sequence:
-        return []
+        return _take_in_late(state, update)
     state.waiting = False
     gathering.reported(state.gathered, state.reporting)
     state.route.learn(update.upstreams)
@@ -219,6 +247,19 @@
     return state.catalogue.advance(update.version) or applied
 
 
+def _take_in_late(state, update):
+    r"""Use a configuration that came after its poll was given up.
+
+    It confirms nothing, but any configuration is better than none. An
+    answer to a former run of this node leaves out what that run knew.
+    """
+    of_this_run = state.first_sequence < update.sequence <= state.sequence
+    if not _is_starting(state) or not of_this_run or (
+            not _take_in(state, update)):
+        return []
+    return [message.CatalogueChanged(state.catalogue.version)]
+
+
 def _check_own_target(state):
     r"""Notice a configuration that holds a later incarnation.
 
--- a/poplarstep/dissemination/tests/test_schedule.py
+++ b/poplarstep/dissemination/tests/test_schedule.py
@@ -364,6 +364,7 @@
     # what all nodes do at once, ms in which their polls may fall
     ('start', subscriber.FIRST_POLL_SPREAD_MS),
     ('fail over', subscriber.FAILOVER_SPREAD_MS),
+    ('fail over without a configuration', subscriber.STARTING_SPREAD_MS),
 )
 
 
@@ -375,8 +376,9 @@
         state = subscriber.make_subscriber(
             'agent-%d' % number, 'agent', 1, catalogue.Catalogue(),
             (model.place(2, 0), model.place(2, 1)))
+        state.waiting = event.startswith('fail over')
         if event == 'fail over':
-            state.waiting = True
+            state.catalogue.advance(1)
         subscriber.tick(state, timer.Tick(subscriber.TICK), 10_000)
         due.append(state.not_before - 10_000)
     assert 0 <= min(due) and max(due) < width
