Let a node advertise another address for its inbox

Cause: nodes behind an address translation, or behind the proxy of a fault soak, are reached at another address than they listen at; envelopes named the address that is bound. Ruled out: a proxy on each pair of nodes (it sees no answers, as these go to the address in the envelope). Change: setting advertised-address; the link test that overwrote the bound address by hand uses it.

--- a/poplarstep/edge/link.py
+++ b/poplarstep/edge/link.py
@@ -88,8 +88,8 @@
     Parameters
     ==========
 
-    bound : Address
-        Where the inbox listens.
+    advertised : Address
+        Where others reach the inbox.
     message_codec : Codec
         Encodes the messages of this process.
     cluster : str
@@ -97,11 +97,11 @@
     """
 
     __slots__ = (
-        'bound', 'codec', 'envelopes', 'cluster', 'inbox', 'peer_by_address',
-        'counters')
+        'advertised', 'codec', 'envelopes', 'cluster', 'inbox',
+        'peer_by_address', 'counters')
 
-    def __init__(self, bound, message_codec, cluster, inbox):
-        self.bound = bound
+    def __init__(self, advertised, message_codec, cluster, inbox):
+        self.advertised = advertised
         self.codec = message_codec
         self.envelopes = codec.Codec([Envelope])
         self.cluster = cluster
@@ -120,7 +120,7 @@
             self.peer_by_address[item.destination] = peer
             peer.greenlet = gevent.spawn(self._write_loop, peer)
         data = self.envelopes.encode(Envelope(
-            self.cluster, self.bound, self.codec.encode(item.message)))
+            self.cluster, self.advertised, self.codec.encode(item.message)))
         if len(data) > codec.MAXIMUM_MESSAGE_BYTES:
             # The receiver would drop the connection, and all else on it.
             self.counters.refused_large += 1
@@ -241,8 +241,15 @@
     )
 
 
-def open_links(bound, message_codec, cluster):
-    r"""Return ``Success(Links)`` or ``Failure(message)``."""
+def open_links(bound, message_codec, cluster, advertised=None):
+    r"""Return ``Success(Links)`` or ``Failure(message)``.
+
+    Parameters
+    ==========
+
+    advertised : Address or None
+        Where others reach the inbox, if it is not where it listens.
+    """
     try:
         inbox = pynng.Pull0(
             listen='tcp://%s' % bound,
@@ -250,4 +257,5 @@
     except pynng.NNGException as error:
         return result.Failure(
             'cannot listen on control address %s: %s' % (bound, error))
-    return result.Success(Links(bound, message_codec, cluster, inbox))
+    return result.Success(
+        Links(advertised or bound, message_codec, cluster, inbox))
--- a/poplarstep/edge/tests/test_link.py
+++ b/poplarstep/edge/tests/test_link.py
@@ -72,7 +72,7 @@
         link.open_links(place, wire.make_control_codec(), 'c').unwrap()
         for place in (SENDER, RECEIVER)]
     sender, receiver = opened
-    receiver.bound = FRONT
+    receiver.advertised = FRONT
     arrived = []
 
     def answer(batch):
--- a/poplarstep/programs/control.py
+++ b/poplarstep/programs/control.py
@@ -134,7 +134,7 @@
     r"""Return the replica state that continues from a data folder."""
     return replicas.make_replica(
         consensus.HostIdentity(settings['node'], loaded.disk),
-        settings['control-address'], settings['control-hosts'],
+        nodes.inbox(settings), settings['control-hosts'],
         settings['start'] == 'bootstrap', consensus_states.make_random(),
         clock.now_ms(), loaded.term, loaded.voted_for, loaded.snapshot,
         loaded.entries,
@@ -193,7 +193,7 @@
         return subscriber.make_follower(
             settings['node'], nodes.new_incarnation(), machine.catalogue,
             lambda: other_leader_inbox(replica), gathered)
-    own = settings['control-address']
+    own = nodes.inbox(settings)
     seeds = tuple(
         seed.address for seed in settings['control-hosts']
         if seed.address != own)
--- a/poplarstep/programs/node.py
+++ b/poplarstep/programs/node.py
@@ -99,7 +99,12 @@
     r"""Open the control links; return ``Success(Links)`` or ``Failure``."""
     return link.open_links(
         node.settings['control-address'], wire.make_control_codec(),
-        node.settings['cluster'])
+        node.settings['cluster'], inbox(node.settings))
+
+
+def inbox(settings):
+    r"""Return the address at which other nodes reach the inbox."""
+    return settings['advertised-address'] or settings['control-address']
 
 
 def finish(node, pipeline, performer_by_type, links, sockets):
--- a/poplarstep/programs/settings.py
+++ b/poplarstep/programs/settings.py
@@ -90,6 +90,8 @@
             'keys that seal flow tokens, newest first, comma separated'),
     Setting('control-address', 'address', None, '', (), ALL,
             'inbox for control messages'),
+    Setting('advertised-address', 'optional address', '', '', (), ALL,
+            'address under which others reach the inbox, if it differs'),
     Setting('http-address', 'address', None, '', (), ALL,
             'probes, metrics and the operators\' or the target\'s requests'),
     Setting('upstreams', 'addresses', None, '', (), SUBSCRIBERS,
@@ -259,6 +261,11 @@
     return address.parse(text)
 
 
+@KINDS.register('optional address')
+def _optional_address(setting, text):
+    return address.parse(text) if text else result.Success(None)
+
+
 @KINDS.register('addresses')
 def _addresses(setting, text):
     parsed = [address.parse(item) for item in text.split(',')]
--- a/poplarstep/programs/settings_page.py
+++ b/poplarstep/programs/settings_page.py
@@ -20,7 +20,8 @@
 KIND_TEXTS = {
     'word': 'one of the words', 'name': 'name of 1 to 100 letters, digits, '
     '`.`, `-`, `/`', 'number': 'whole number', 'decimal': 'number',
-    'address': '`IP:PORT`', 'addresses': '`IP:PORT`, comma separated',
+    'address': '`IP:PORT`', 'optional address': '`IP:PORT` or nothing',
+    'addresses': '`IP:PORT`, comma separated',
     'keys': 'keys of 16 to 64 bytes, comma separated',
     'seeds': '`NAME=IP:PORT`, comma separated',
     'text': 'text'}
@@ -47,11 +48,17 @@
         '| --- | --- | --- | --- |',
         '| `%s` | %s | %s | %s |' % (
             item.variable, _value(item),
-            'required' if item.default is None else '`%s`' % item.default,
+            _default(item),
             ', '.join(item.roles)),
         ''))
 
 
+def _default(item):
+    if item.default is None:
+        return 'required'
+    return '`%s`' % item.default if item.default else 'none'
+
+
 def _value(item):
     text = KIND_TEXTS[item.kind]
     if item.kind == 'word':
