Keep the packets of a flow at the target whose answer the caller took

An offer that is answered late leads to a second one, and two targets answer the opening packet. The balancer followed the agent it heard last; the target there dropped the caller's packets without returning them, for 1.4 s. Meanwhile the first target had answered and closed; its agent forgot the flow 3 s later, while the caller repeated packets 1.6 s apart, and an agent that had just started handed them to its target on suspicion. Change: agents learn the first number of their target's answer and return packets that acknowledge another one; a balancer keeps to the first agent that took a flow; closed flows are known as long as idle ones; an agent that heard its target from the start does not guess.

--- a/poplarstep/steering/agent.py
+++ b/poplarstep/steering/agent.py
@@ -33,8 +33,6 @@
 # Opening packets are handed over one ahead of the free slots, because the
 # request of a new flow arrives a round trip later.
 AHEAD = 1
-# A flow that has ended may still send a late packet.
-ENDED_KEPT_MS = 3000
 # A request that the target does not answer by then counts no longer.
 REQUEST_LIMIT_MS = 2000
 MAXIMUM_FLOWS = 50_000
@@ -148,18 +146,47 @@
 @REQUESTS.handles(message.Carry)
 def carry(state, event, now):
     r"""Hand over a later packet; the target knows whether it holds it."""
-    return _hand_over(state, event.source, event.message, now)
+    carried = event.message
+    if _is_of_other_target(state, carried):
+        _disown(state, carried, now)
+        return [message.ToNode(event.source, message.Stray(
+            carried.flow, carried.sending, carried.ending, carried.datagram,
+            carried.acknowledged))]
+    return _hand_over(state, event.source, carried, now)
+
+
+def _is_of_other_target(state, carried):
+    r"""Return whether the caller talks to another target that answered.
+
+    When an offer is late, two targets may answer the opening packet; the
+    caller keeps to the first answer. The target here still waits for the
+    caller and would swallow its packets without a word.
+    """
+    flow = state.flow_by_key.get(carried.flow)
+    return flow is not None and not segments.follows(
+        carried.acknowledged, flow.sequence)
+
+
+def _disown(state, carried, now):
+    r"""Forget a flow that the caller has opened at another target."""
+    state.counters.disowned += 1
+    del state.flow_by_key[carried.flow]
+    state.occupancy.end(carried.flow, now, answered=False)
 
 
 @REQUESTS.handles(message.Find)
 def find(state, event, now):
     r"""Hand over a packet if the flow is, or may be, held here."""
     carried = event.message.carry
+    if _is_of_other_target(state, carried):
+        _disown(state, carried, now)
+        return []
     if carried.flow in state.flow_by_key:
         state.counters.found += 1
         return _hand_over(state, event.source, carried, now) + [
             _held(state, event.source, carried.flow)]
-    if now - state.started_at > state.flow_limit_ms:
+    if now - state.started_at > state.flow_limit_ms or (
+            state.target is not None and state.target.from_start):
         return []
     # A target that runs for longer than this agent may hold the flow.
     state.counters.passed_unsure += 1
@@ -199,6 +226,8 @@
     if flow is None:
         return effects
     flow.last_used = now
+    if segment.opening:
+        flow.sequence = segment.sequence
     if not flow.confirmed:
         flow.confirmed = True
         if flow.opening is None:
@@ -226,7 +255,8 @@
     else:
         answer = message.Stray(
             segment.flow, segment.data_bytes > 0,
-            segment.closing or segment.reset, segment.datagram)
+            segment.closing or segment.reset, segment.datagram,
+            segment.acknowledged)
     effects = [message.ToNode(flow.balancer, answer)]
     return effects + (drain_queue(state, now) if freed else [])
 
@@ -277,10 +307,13 @@
 
 
 def _sweep(state, now):
+    r"""Forget idle flows.
+
+    A flow whose target has closed it stays as long as any other: its caller
+    may have missed the end and sends again.
+    """
     policy = state.catalogue.policy
     idle_ms = policy.flow_idle_ms if policy else states.DEFAULT_IDLE_MS
     for key, flow in list(state.flow_by_key.items()):
-        ended = flow.ended_at is not None and (
-            now - max(flow.ended_at, flow.last_used) > ENDED_KEPT_MS)
-        if ended or now - flow.last_used > idle_ms:
+        if now - flow.last_used > idle_ms:
             del state.flow_by_key[key]
--- a/poplarstep/steering/agent_state.py
+++ b/poplarstep/steering/agent_state.py
@@ -4,6 +4,7 @@
 
 from poplarstep.core import histogram
 from poplarstep.steering import occupancy
+from poplarstep.steering import segment as segments
 
 DEFAULT_IDLE_MS = 15_000
 NANOSECONDS_PER_MILLISECOND = 1_000_000
@@ -13,11 +14,13 @@
     r"""A flow of the target beside this agent.
 
     ``balancer`` sent its latest packet; ``confirmed`` tells a flow that the
-    target has answered from one that it may not know.
+    target has answered from one that it may not know. ``sequence`` is the
+    first number of the target's bytes, when its answer has told it.
     """
 
     __slots__ = (
-        'balancer', 'opening', 'confirmed', 'ended_at', 'last_used')
+        'balancer', 'opening', 'confirmed', 'ended_at', 'last_used',
+        'sequence')
 
     def __init__(self, balancer, opening, now):
         self.balancer = balancer
@@ -25,6 +28,7 @@
         self.confirmed = False
         self.ended_at = None
         self.last_used = now
+        self.sequence = segments.NO_NUMBER
 
 
 class Waiting:
@@ -43,9 +47,9 @@
     r"""Counts of events since the agent started."""
 
     __slots__ = (
-        'offers', 'taken', 'queued', 'not_taken', 'carried', 'found',
-        'passed_unsure', 'returned', 'expired_waiting', 'heartbeats',
-        'outdated_heartbeats', 'restarts', 'to_caller')
+        'offers', 'taken', 'queued', 'disowned', 'not_taken', 'carried',
+        'found', 'passed_unsure', 'returned', 'expired_waiting',
+        'heartbeats', 'outdated_heartbeats', 'restarts', 'to_caller')
 
     def __init__(self):
         for name in self.__slots__:
--- a/poplarstep/steering/balancer.py
+++ b/poplarstep/steering/balancer.py
@@ -74,7 +74,8 @@
 def _carry(segment):
     return message.Carry(
         segment.flow, segment.data_bytes > 0,
-        segment.closing or segment.reset, segment.datagram)
+        segment.closing or segment.reset, segment.datagram,
+        segment.acknowledged)
 
 
 def _onward(state, tracked, carry):
@@ -131,6 +132,10 @@
     if tracked.opened_at is not None:
         state.opening_ms.observe(now - tracked.opened_at)
         tracked.opened_at = None
+    if tracked.agent is not None:
+        # Two targets took the flow; callers keep to the one that answered
+        # first, and the agent of the other sends strays back.
+        return []
     tracked.agent = event.source
     tracked.finds = 0
     return []
@@ -190,7 +195,8 @@
 
 def _carry_of(answer):
     return message.Carry(
-        answer.flow, answer.sending, answer.ending, answer.datagram)
+        answer.flow, answer.sending, answer.ending, answer.datagram,
+        answer.acknowledged)
 
 
 @STEER.handles(timer.Tick)
--- a/poplarstep/steering/message.py
+++ b/poplarstep/steering/message.py
@@ -11,6 +11,7 @@
 
 from poplarstep.core import address
 from poplarstep.core import record
+from poplarstep.steering import segment as segments
 
 # Reasons for which an agent does not take an opening packet.
 BUSY = 'busy'
@@ -83,13 +84,15 @@
     r"""Later packet of a flow, for the agent that holds it.
 
     ``sending`` says that it carries data, ``ending`` that the caller closes
-    or resets the flow.
+    or resets the flow; ``acknowledged`` as in ``Segment``.
     """
 
-    __slots__ = ('flow', 'sending', 'ending', 'datagram')
+    __slots__ = ('flow', 'sending', 'ending', 'datagram', 'acknowledged')
 
     def __init__(
-            self, flow: bytes, sending: bool, ending: bool, datagram: bytes):
+            self, flow: bytes, sending: bool, ending: bool, datagram: bytes,
+            acknowledged: int = segments.NO_NUMBER):
+        self.acknowledged = acknowledged
         self.flow = flow
         self.sending = sending
         self.ending = ending
@@ -133,10 +136,12 @@
 class Stray(record.Record):
     r"""The target of the sending agent does not hold a flow."""
 
-    __slots__ = ('flow', 'sending', 'ending', 'datagram')
+    __slots__ = ('flow', 'sending', 'ending', 'datagram', 'acknowledged')
 
     def __init__(
-            self, flow: bytes, sending: bool, ending: bool, datagram: bytes):
+            self, flow: bytes, sending: bool, ending: bool, datagram: bytes,
+            acknowledged: int = segments.NO_NUMBER):
+        self.acknowledged = acknowledged
         self.flow = flow
         self.sending = sending
         self.ending = ending
--- a/poplarstep/steering/segment.py
+++ b/poplarstep/steering/segment.py
@@ -13,6 +13,11 @@
 
 KEY_BYTES = 12
 END_BYTES = 6
+NO_NUMBER = -1
+SEQUENCES = 2**32
+# Ends draw the first number of a flow at random. A number that is further
+# from it than a flow has bytes belongs to another end.
+MAXIMUM_FLOW_BYTES = 2**26
 
 
 class Segment:
@@ -38,15 +43,24 @@
         Length of the data that it carries.
     datagram : bytes
         The packet as it is to be sent on.
+    sequence : int
+        Position of the packet in the bytes of its sender, modulo
+        ``SEQUENCES``; ``NO_NUMBER`` when the format has none.
+    acknowledged : int
+        Position in the bytes of the other end up to which the sender has
+        them, or ``NO_NUMBER``.
     """
 
     __slots__ = (
         'flow', 'opening', 'repeated', 'closing', 'reset', 'returned',
-        'data_bytes', 'datagram')
+        'data_bytes', 'datagram', 'sequence', 'acknowledged')
 
     def __init__(
             self, flow, opening, closing, reset, returned, data_bytes,
-            datagram, repeated=False):
+            datagram, repeated=False, sequence=NO_NUMBER,
+            acknowledged=NO_NUMBER):
+        self.sequence = sequence
+        self.acknowledged = acknowledged
         self.flow = flow
         self.opening = opening
         self.repeated = repeated
@@ -83,6 +97,23 @@
     return address.from_bytes(flow[END_BYTES:KEY_BYTES])
 
 
+def follows(number, first):
+    r"""Return whether a number can belong to the end that began at another.
+
+    Examples
+    ========
+
+    >>> follows(1005, 1000), follows(4, SEQUENCES - 6)
+    (True, True)
+    >>> follows(2**31, 1000), follows(1000, NO_NUMBER)
+    (False, True)
+
+    """
+    if NO_NUMBER in (number, first):
+        return True
+    return (number - first) % SEQUENCES <= MAXIMUM_FLOW_BYTES
+
+
 def describe(flow):
     r"""Return a flow as text for log lines."""
     return '%s>%s' % (caller_of(flow), service_of(flow))
--- a/poplarstep/steering/tests/test_agent.py
+++ b/poplarstep/steering/tests/test_agent.py
@@ -171,16 +171,23 @@
         message.OVERLOADED)
 
 
-@pytest.mark.parametrize('known, now, handed, held', [
-    pytest.param(True, 90_000, True, True, id='holder'),
+@pytest.mark.parametrize('known, sequence, now, handed, held', [
+    pytest.param(True, 1, 90_000, True, True, id='holder'),
     pytest.param(
-        False, 1000, True, False,
+        False, 9, 1000, True, False,
         id='a restarted agent can not know what its target holds'),
-    pytest.param(False, 90_000, False, False, id='not the holder'),
+    pytest.param(
+        False, 1, 1000, False, False,
+        id='an agent that heard its target from the start does know'),
+    pytest.param(False, 9, 90_000, False, False, id='not the holder'),
 ])
-def test_find(known, now, handed, held):
-    """Guards against packets of a moved flow that reach no target."""
-    state = worlds.make_agent()
+def test_find(known, sequence, now, handed, held):
+    """Guards against packets of a moved flow that reach no target.
+
+    And against packets of a lost flow that reach the targets of all agents
+    that have started of late.
+    """
+    state = worlds.make_agent(sequence=sequence)
     if known:
         worlds.ask_agent(state, worlds.offer())
     carry = message.Carry(worlds.FLOW, True, False, b'data')
@@ -192,7 +199,7 @@
 
 def test_flow_found_by_asking_is_reported():
     """Guards against asking all agents for every packet of a flow."""
-    state = worlds.make_agent()
+    state = worlds.make_agent(sequence=9)
     worlds.ask_agent(state, message.Find(
         message.Carry(worlds.FLOW, True, False, b'data')), 10)
     effects = agent.HOLD.process(
@@ -244,7 +251,7 @@
     Callers repeat packets of flows that ended with the power; a target that
     has not started yet returns none of them.
     """
-    state = worlds.make_agent()
+    state = worlds.make_agent(sequence=9)
     for number in range(20):
         worlds.ask_agent(state, message.Find(message.Carry(
             worlds.flow_number(number), True, False, b'data')), 10)
@@ -266,3 +273,59 @@
         slots=100, cold_ms=60_000, sequence=sequence,
         started_at=started_at)
     assert admission.obstacle(state, worlds.SERVICE, 500) == reason
+
+
+def answered_flow(sequence):
+    """Return an agent whose target has answered an opening packet."""
+    state = worlds.make_agent()
+    worlds.ask_agent(state, worlds.offer())
+    agent.HOLD.process(state, message.FromTarget(
+        worlds.segment(opening=True, sequence=sequence)), 5)
+    return state
+
+
+@pytest.mark.parametrize('sequence, acknowledged, own', [
+    pytest.param(1000, 1001, True, id='the caller took this answer'),
+    pytest.param(
+        2**32 - 5, 300_000, True, id='the numbers of a long answer wrap'),
+    pytest.param(1000, 3_000_000_000, False, id='another target answered'),
+    pytest.param(1000, -1, True, id='the packet acknowledges nothing'),
+    pytest.param(-1, 77, True, id='the format has no numbers'),
+])
+@pytest.mark.parametrize('asked', ['carry', 'find'])
+def test_packets_for_the_target_that_answered_first(
+        sequence, acknowledged, own, asked):
+    """Guards against a target that swallows the packets of another one.
+
+    After a late offer two targets answer the opening packet. The one whose
+    answer came second drops what the caller sends, without returning it.
+    """
+    state = answered_flow(sequence)
+    carry = message.Carry(worlds.FLOW, True, False, b'data', acknowledged)
+    effects = worlds.ask_agent(
+        state, message.Find(carry) if asked == 'find' else carry, 9)
+    assert bool(worlds.to_target(effects)) == own
+    strays = worlds.answer(effects, message.Stray)
+    assert len(strays) == (not own and asked == 'carry')
+    if own:
+        return
+    assert state.occupancy.count() == 0
+    # From now on the other agent alone answers for the flow.
+    assert worlds.ask_agent(state, message.Find(carry), 20) == []
+
+
+def test_closed_flow_is_known_while_its_caller_may_repeat_packets():
+    """Guards against a flow that is lost while its caller still sends.
+
+    Callers repeat packets up to 1.6 s apart, and a balancer that restarts
+    has the flow looked for.
+    """
+    state = answered_flow(1000)
+    agent.HOLD.process(state, message.FromTarget(
+        worlds.segment(data=40, closing=True)), 10)
+    agent.HOLD.process(state, TICK, 9000)
+    effects = worlds.ask_agent(state, message.Find(
+        message.Carry(worlds.FLOW, True, False, b'data', 1001)), 9000)
+    assert worlds.to_target(effects) and worlds.answer(effects, message.Held)
+    agent.HOLD.process(state, TICK, 60_000)
+    assert not state.flow_by_key
--- a/poplarstep/steering/tests/test_balancer.py
+++ b/poplarstep/steering/tests/test_balancer.py
@@ -258,3 +258,15 @@
     tell(state, place, held, 900)
     rows = {row[0]: row[2] for row in state.opening_ms.rows('opening_ms')}
     assert (rows['opening_ms_sum'], rows['opening_ms_count']) == (30, 1)
+
+
+def test_second_target_that_took_a_flow_does_not_get_its_packets():
+    """Guards against packets at the target whose answer came too late."""
+    state = worlds.make_balancer()
+    first, = destinations(arrive(state, opening=True))
+    second, = destinations(balancer.STEER.process(
+        state, TICK, balancer.OFFER_TIMEOUT_MS))
+    held = message.Held(worlds.FLOW, worlds.IDLE_LOAD)
+    tell(state, first, held, 70)
+    tell(state, second, held, 72)
+    assert destinations(arrive(state, now=80, data=5)) == [first]
--- a/poplarstep/steering/tests/worlds.py
+++ b/poplarstep/steering/tests/worlds.py
@@ -85,10 +85,12 @@
         0, 'i-1', 'dispatch', 5000, 1, 1, False, 0).replace(**changes)
 
 
-def segment(flow=FLOW, opening=False, data=0, closing=False, returned=False):
+def segment(flow=FLOW, opening=False, data=0, closing=False, returned=False,
+            sequence=segments.NO_NUMBER):
     r"""Return a packet of a flow."""
     return segments.Segment(
-        flow, opening, closing, False, returned, data, b'packet')
+        flow, opening, closing, False, returned, data, b'packet',
+        sequence=sequence)
 
 
 def offer(flow=FLOW, service=SERVICE, priority=1, may_wait=False,
