End a control host whose data folder is in doubt

Ruled out: the limit itself (it was lifted, log lines went through); the election (control-0 had no second voter that could store). Change: EFBIG leaves nothing behind and may pass, as a full disk does; a host with a folder in doubt ends, so that its supervisor starts it and the folder is read anew.

--- a/poplarstep/edge/storage.py
+++ b/poplarstep/edge/storage.py
@@ -29,7 +29,8 @@
 
 SEGMENT_BYTES = 16 * 1024 * 1024
 SEGMENT_PREFIX = 'log-'
-DISK_FULL = (errno.ENOSPC, errno.EDQUOT)
+# Errors of a write that left nothing behind and may succeed later.
+DISK_FULL = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 
 # Functions ``(storage, effect)`` by class name of the storage effect.
 WRITERS = registry.Registry('storage effect')
--- a/poplarstep/programs/control.py
+++ b/poplarstep/programs/control.py
@@ -96,7 +96,8 @@
         register_front_end(
             node, waiting, lambda: leader_inbox(replica, subscribed))
     finished = nodes.finish(
-        node, pipeline, make_performers(storage, links, waiting), links, {})
+        node, pipeline,
+        make_performers(storage, links, waiting, node.failed.set), links, {})
     if not isinstance(finished, result.Failure):
         node.task.post(replicas.start(replica))
     return finished
@@ -105,10 +106,11 @@
 class NoStorage:
     r"""Stands in for the data folder of a host that never writes."""
 
-    __slots__ = ('loaded',)
+    __slots__ = ('loaded', 'broken')
 
     def __init__(self):
         self.loaded = storages.Loaded('', 0, None, None, ())
+        self.broken = ''
 
     def perform(self, item):
         r"""Refuse to store; a host without a disk must promise nothing."""
@@ -240,11 +242,21 @@
     return rows
 
 
-def make_performers(storage, links, waiting):
-    r"""Return the functions that carry out a control host's effects."""
+def make_performers(storage, links, waiting, end):
+    r"""Return the functions that carry out a control host's effects.
+
+    Parameters
+    ==========
+
+    end : callable
+        Ends the process. A folder that is in doubt after an error can only
+        be trusted again when it is read anew.
+    """
     def store(item):
         stored = storage.perform(item)
         if isinstance(stored, result.Failure):
+            if storage.broken:
+                end()
             return effect.Abort(consensus.StorageFailed(stored.failure()))
         return ()
 
