Dial a link again that is mute in one direction

A push socket counted as alive when anything came from its peer. Ruled out: the election and the lost disk (two of three hosts had their logs); the proxy (new connections passed). Change: envelopes are numbered for each link and tell the latest number seen from the other side; a link is silent when what was sent on it is not seen.

--- a/poplarstep/edge/link.py
+++ b/poplarstep/edge/link.py
@@ -8,8 +8,10 @@
 above repeat what matters. A blocking pynng call would stop the gevent hub;
 the tasks wait on the sockets' file descriptors instead.
 
-A push socket whose peer is silent is closed and dialled again, because an
-established connection can go silent while new ones work.
+An established connection can go silent while new ones work, also in one
+direction only. So messages to a peer are numbered, and whatever the peer
+sends tells the last number that it got. A push socket whose messages have
+not been seen for a while is closed and dialled again.
 """
 
 import gevent
@@ -26,15 +28,18 @@
 
 OUTBOX_MESSAGES = 256
 BATCH_MESSAGES = 64
+# Room for the fields of an envelope around its body.
+ENVELOPE_BYTES = 512
+MAXIMUM_BODY_BYTES = codec.MAXIMUM_MESSAGE_BYTES - ENVELOPE_BYTES
 # Links to inboxes that envelopes name; a host that invents sources must not
 # take up memory without limit.
 MAXIMUM_PEERS = 4096
 # A push socket that nothing was sent on for this long is closed. Polls and
 # heartbeats come at least every second; a dead subscriber gets no answers.
 IDLE_MS = 15_000
-# A dial is renewed when no message has come back from the peer for this
-# long while messages were sent to it; then after twice that, up to the
-# maximum, which keeps a healed link within the 4 s of a configuration.
+# A dial is renewed when the peer has not told for this long that it saw what
+# was sent to it; then after twice that, up to the maximum, which keeps a
+# healed link within the 4 s of a configuration.
 SILENT_MS = 2000
 MAXIMUM_SILENT_MS = 4000
 RECONNECT_MS = 100
@@ -42,12 +47,24 @@
 
 
 class Envelope(record.Record):
-    r"""A control message with the sender's inbox, for the answer."""
+    r"""A control message with the sender's inbox, for the answer.
 
-    __slots__ = ('cluster', 'source', 'body')
+    Parameters
+    ==========
+
+    number : int
+        Counts the messages of the sender's run to this inbox, from 1.
+    seen : int
+        Number of the latest message that the sender got from this inbox.
+    """
+
+    __slots__ = ('cluster', 'source', 'body', 'number', 'seen')
 
     def __init__(
-            self, cluster: str, source: address.Address, body: bytes):
+            self, cluster: str, source: address.Address, body: bytes,
+            number: int, seen: int):
+        self.number = number
+        self.seen = seen
         self.cluster = cluster
         self.source = source
         self.body = body
@@ -67,17 +84,31 @@
 
 
 class Peer:
-    r"""Push socket to one inbox with its bounded outbox."""
+    r"""Push socket to one inbox with its bounded outbox.
+
+    Parameters
+    ==========
+
+    number : int
+        Of the latest message that was sent.
+    unseen_since : int or None
+        When the oldest message was sent that the peer has not told to have
+        seen, in ms.
+    unseen_from : int
+        Number of the latest message that the peer is known to have seen.
+    """
 
     __slots__ = (
-        'address', 'outbox', 'greenlet', 'last_heard', 'dialled_at',
-        'patience_ms')
+        'address', 'outbox', 'greenlet', 'number', 'unseen_since',
+        'unseen_from', 'dialled_at', 'patience_ms')
 
     def __init__(self, peer_address, now):
         self.address = peer_address
         self.outbox = queue.Queue(maxsize=OUTBOX_MESSAGES)
         self.greenlet = None
-        self.last_heard = now
+        self.number = 0
+        self.unseen_since = None
+        self.unseen_from = 0
         self.dialled_at = now
         self.patience_ms = SILENT_MS
 
@@ -98,7 +129,7 @@
 
     __slots__ = (
         'advertised', 'codec', 'envelopes', 'cluster', 'inbox',
-        'peer_by_address', 'counters')
+        'peer_by_address', 'counters', 'number_by_source')
 
     def __init__(self, advertised, message_codec, cluster, inbox):
         self.advertised = advertised
@@ -107,6 +138,7 @@
         self.cluster = cluster
         self.inbox = inbox
         self.peer_by_address = {}
+        self.number_by_source = {}
         self.counters = LinkCounters()
 
     def send(self, item):
@@ -119,14 +151,13 @@
             peer = Peer(item.destination, clock.now_ms())
             self.peer_by_address[item.destination] = peer
             peer.greenlet = gevent.spawn(self._write_loop, peer)
-        data = self.envelopes.encode(Envelope(
-            self.cluster, self.advertised, self.codec.encode(item.message)))
-        if len(data) > codec.MAXIMUM_MESSAGE_BYTES:
+        body = self.codec.encode(item.message)
+        if len(body) > MAXIMUM_BODY_BYTES:
             # The receiver would drop the connection, and all else on it.
             self.counters.refused_large += 1
             return
         try:
-            peer.outbox.put_nowait(data)
+            peer.outbox.put_nowait(body)
         except queue.Full:
             self.counters.dropped_outbox += 1
 
@@ -174,18 +205,33 @@
         if isinstance(body, result.Failure):
             self.counters.malformed += 1
             return None
+        self._note_numbers(envelope)
+        return effect.Received(envelope.source, body.unwrap())
+
+    def _note_numbers(self, envelope):
+        r"""Note what came from a peer and what it has seen."""
+        numbers = self.number_by_source
+        if envelope.source not in numbers and len(numbers) >= MAXIMUM_PEERS:
+            del numbers[next(iter(numbers))]
+        numbers[envelope.source] = envelope.number
         peer = self.peer_by_address.get(envelope.source)
-        if peer is not None:
-            peer.last_heard = clock.now_ms()
+        if peer is None or peer.unseen_since is None:
+            return
+        if envelope.seen == peer.number:
+            peer.unseen_since = None
+            peer.patience_ms = SILENT_MS
+        elif envelope.seen > peer.unseen_from:
+            # Some of what is on its way has arrived.
+            peer.unseen_from = envelope.seen
+            peer.unseen_since = clock.now_ms()
             peer.patience_ms = SILENT_MS
-        return effect.Received(envelope.source, body.unwrap())
 
     def _write_loop(self, peer):
         socket = None
         try:
             while True:
                 try:
-                    data = peer.outbox.get(
+                    body = peer.outbox.get(
                         timeout=IDLE_MS / clock.MILLISECONDS_PER_SECOND)
                 except queue.Empty:
                     self.counters.closed_idle += 1
@@ -199,7 +245,7 @@
                 if socket is None:
                     socket = _dial(peer)
                     self.counters.dialled += 1
-                self._push(peer, socket, data)
+                self._push(peer, socket, body)
         except pynng.NNGException:
             # A later message to the same inbox makes a new link.
             self.counters.failed_links += 1
@@ -209,13 +255,20 @@
             if socket is not None:
                 socket.close()
 
-    def _push(self, peer, socket, data):
+    def _push(self, peer, socket, body):
+        if peer.unseen_since is None:
+            peer.unseen_since = clock.now_ms()
+            peer.unseen_from = peer.number
+        data = self.envelopes.encode(Envelope(
+            self.cluster, self.advertised, body, peer.number + 1,
+            self.number_by_source.get(peer.address, 0)))
         try:
             # The descriptor turns readable when a message can be sent.
             gevent_socket.wait_read(
                 socket.send_fd,
                 timeout=SILENT_MS / clock.MILLISECONDS_PER_SECOND)
             socket.send(data, block=False)
+            peer.number += 1
             self.counters.sent += 1
             self.counters.sent_bytes += len(data)
         except (pynng.TryAgain, gevent_socket.timeout, TimeoutError):
@@ -226,8 +279,10 @@
 
 
 def _is_silent(peer):
-    newest = max(peer.last_heard, peer.dialled_at)
-    return clock.now_ms() - newest > peer.patience_ms
+    if peer.unseen_since is None:
+        return False
+    since = max(peer.unseen_since, peer.dialled_at)
+    return clock.now_ms() - since > peer.patience_ms
 
 
 def _dial(peer):
--- a/poplarstep/edge/plain_format.py
+++ b/poplarstep/edge/plain_format.py
@@ -3,11 +3,16 @@
 Explanation
 ===========
 
-A datagram is a flow key (12 bytes), one byte of flags and the data. Another
-front end brings its own functions in a ``PacketFormat``; the stages see
-``Segment`` only.
+A datagram is a flow key (12 bytes), one byte of flags, two numbers of 4
+bytes, big-endian, and the data. The first number is the one that a target
+draws for a flow and sends with all that belongs to it; callers send it back
+as the second one, with the flag ``ACKNOWLEDGING``. So a flow opens at one
+target even if two have answered its opening packet. Another front end brings
+its own functions in a ``PacketFormat``; the stages see ``Segment`` only.
 """
 
+import struct
+
 from returns import result
 
 from poplarstep.steering import segment as segments
@@ -16,7 +21,11 @@
 CLOSING = 2
 RESET = 4
 RETURNED = 8
-HEAD_BYTES = segments.KEY_BYTES + 1
+# A later copy of an opening packet; the flow may be open by now.
+REPEATED = 16
+ACKNOWLEDGING = 32
+HEAD = struct.Struct('>%dsBII' % segments.KEY_BYTES)
+HEAD_BYTES = HEAD.size
 
 
 class PacketFormat:
@@ -55,6 +64,8 @@
 
     >>> decode(encode(bytes(12), OPENING)).opening
     True
+    >>> decode(encode(bytes(12), OPENING | REPEATED)).repeated
+    True
     >>> decode(b'short').failure()
     'datagram of 5 bytes has no head'
 
@@ -62,20 +73,22 @@
     if len(datagram) < HEAD_BYTES:
         return result.Failure(
             'datagram of %d bytes has no head' % len(datagram))
-    flags = datagram[segments.KEY_BYTES]
+    flow, flags, sequence, acknowledged = HEAD.unpack_from(datagram)
     returned = bool(flags & RETURNED)
-    flow = datagram[:segments.KEY_BYTES]
     data = datagram[HEAD_BYTES:]
     if returned:
-        datagram = encode(flow, flags & ~RETURNED, data)
+        datagram = encode(
+            flow, flags & ~RETURNED, data, sequence, acknowledged)
     return segments.Segment(
         flow, bool(flags & OPENING), bool(flags & CLOSING),
-        bool(flags & RESET), returned, len(data), datagram)
+        bool(flags & RESET), returned, len(data), datagram,
+        bool(flags & REPEATED), sequence,
+        acknowledged if flags & ACKNOWLEDGING else segments.NO_NUMBER)
 
 
-def encode(flow, flags, data=b''):
+def encode(flow, flags, data=b'', sequence=0, acknowledged=0):
     r"""Return the datagram of a packet."""
-    return flow + bytes([flags]) + data
+    return HEAD.pack(flow, flags, sequence, acknowledged) + data
 
 
 def make_reset(flow):
--- a/poplarstep/edge/tests/test_link.py
+++ b/poplarstep/edge/tests/test_link.py
@@ -117,6 +117,30 @@
     assert sender.counters.redialled == dials - 1
 
 
+def test_connection_that_is_mute_in_one_direction_is_dialled_again(pair):
+    r"""Guards against a link that looks alive because the peer still talks.
+
+    Two control hosts stayed without a leader: votes went one way only.
+    """
+    sender, receiver, arrived = pair
+    proxy = Proxy(1, True)
+
+    def talk():
+        while True:
+            receiver.send(effect.SendControl(SENDER, POLL))
+            gevent.sleep(0.02)
+
+    talking = gevent.spawn(talk)
+    try:
+        send_for(sender, 1200)
+    finally:
+        talking.kill()
+        proxy.server.stop()
+    assert sender.counters.received > 20
+    assert arrived, 'nothing arrived over a new connection'
+    assert sender.counters.dialled == 2
+
+
 def test_dials_of_a_dead_peer_back_off(pair):
     r"""Guards against a dial for every message to a dead peer."""
     sender, _, _ = pair
@@ -149,6 +173,6 @@
     gevent.sleep(1.5)
     raw.close()
     assert [item.message for item in arrived] == [POLL]
-    monkeypatch.setattr(codec, 'MAXIMUM_MESSAGE_BYTES', 10)
+    monkeypatch.setattr(link, 'MAXIMUM_BODY_BYTES', 10)
     sender.send(effect.SendControl(RECEIVER, POLL))
     assert sender.counters.refused_large == 1
--- a/poplarstep/edge/tests/test_sockets.py
+++ b/poplarstep/edge/tests/test_sockets.py
@@ -28,7 +28,14 @@
 POLL = dissemination.Poll('node', 'agent', 1, 1, 2, False, (), ())
 ENVELOPES = codec.Codec([link.Envelope])
 BODY = wire.make_control_codec().encode(POLL)
-GOOD = ENVELOPES.encode(link.Envelope('cluster', HERE, BODY))
+
+
+def envelope(cluster, body):
+    """Return the bytes of an envelope from here."""
+    return ENVELOPES.encode(link.Envelope(cluster, HERE, body, 1, 0))
+
+
+GOOD = envelope('cluster', BODY)
 
 
 def wait_for(condition):
@@ -54,10 +61,9 @@
 ODD_MESSAGES = (
     (b'', 'malformed'), (b'\x01', 'malformed'), (GOOD[:-1], 'malformed'),
     (b'\x02' + GOOD[1:], 'malformed'), (GOOD + b'\x00', 'malformed'),
-    (ENVELOPES.encode(link.Envelope('cluster', HERE, BODY[:-1])),
-     'malformed'),
-    (ENVELOPES.encode(link.Envelope('cluster', HERE, GOOD)), 'malformed'),
-    (ENVELOPES.encode(link.Envelope('other', HERE, BODY)), 'wrong_cluster'),
+    (envelope('cluster', BODY[:-1]), 'malformed'),
+    (envelope('cluster', GOOD), 'malformed'),
+    (envelope('other', BODY), 'wrong_cluster'),
 )
 
 
