--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+r"""Randomized fault soak of the real programs on loopback."""
