Measure packets of opaque flows against a bare forwarder

Change: benchmarks.packets has a child that runs a balancer of opaque flows, and prints its share of the bare forwarder's rate of the same run.

--- a/benchmarks/packets.py
+++ b/benchmarks/packets.py
@@ -26,12 +26,18 @@
 from poplarstep.edge import clock
 from poplarstep.edge import codec
 from poplarstep.edge import datagrams
+from poplarstep.edge import plain_format
 from poplarstep.edge import proxy_header
 from poplarstep.edge import task as tasks
+from poplarstep.edge import wire
 from poplarstep.flow import packet
 from poplarstep.flow import token
 from poplarstep.programs import balancer as balancers
+from poplarstep.programs import flow_balancer as flow_balancers
 from poplarstep.routing import assembly
+from poplarstep.steering import assembly as flow_assembly
+from poplarstep.steering import offers
+from poplarstep.steering import segment as segments
 
 KEY = b'benchmark-key-of-32-bytes-length'
 FRONT = address.Address('127.50.0.1', 7100)
@@ -44,7 +50,9 @@
 PAYLOAD = b'x' * 100
 STALL_S = 0.2
 FOREVER_MS = 1 << 50
-KINDS = ('bare', 'balancer')
+KINDS = ('bare', 'balancer', 'opaque')
+FIRST_PORT = 1024
+PORTS = 60_000
 
 
 def catalogue_changes(targets):
@@ -60,10 +68,12 @@
     return [model.Change(1, body) for body in bodies]
 
 
-def serve(kind, targets):
+def serve(kind, targets, flows):
     r"""Run the child process until it is killed."""
     if kind == 'bare':
         _serve_bare()
+    elif kind == 'opaque':
+        _serve_opaque(flows)
     else:
         _serve_balancer(targets)
 
@@ -103,6 +113,36 @@
     task.run()
 
 
+def _serve_opaque(flows):
+    pipeline, subscribed, steering = flow_assembly.make_balancer({
+        'node': 'benchmark', 'upstreams': (FABRIC,),
+        'without-control': 'serve', 'placement': 'two-choices'}, 1,
+        random.Random(1), clock.now_ms())
+    subscribed.catalogue.apply(
+        [model.Change(1, model.Policy(1, FOREVER_MS, 1))])
+    for number in range(flows):
+        tracked = offers.track(steering, opaque_flow(number), clock.now_ms())
+        tracked.agent = AGENT
+    front = datagrams.open_datagram_socket(
+        FRONT, flow_balancers.make_front_decoder(
+            plain_format.make_format())).unwrap()
+    back = datagrams.open_datagram_socket(BACK, _keep).unwrap()
+    task = tasks.Task(
+        'benchmark', pipeline, timer.TimerQueue(),
+        flow_balancers.make_performers(
+            plain_format.make_format(), wire.make_flow_codec(), front, back,
+            _NoLinks()))
+    gevent.spawn(front.read_loop, task.post)
+    task.run()
+
+
+def opaque_flow(number):
+    r"""Return the key of one of many opaque flows."""
+    high, low = divmod(number, PORTS)
+    return segments.flow_key(address.Address(
+        '100.64.%d.%d' % divmod(high, 256), FIRST_PORT + low), SERVICE)
+
+
 class _NoLinks:
     r"""Stands in for control links: the benchmark has no control host."""
 
@@ -160,7 +200,7 @@
     r"""Run one child and return its ``Measurement``."""
     child = subprocess.Popen([
         sys.executable, '-m', 'benchmarks.packets', '--serve', kind,
-        '--serve-targets', str(targets)])
+        '--serve-targets', str(targets), '--serve-flows', str(flows)])
     agent = datagrams.open_datagram_socket(AGENT, _keep).unwrap()
     fabric = datagrams.open_datagram_socket(FABRIC, _keep).unwrap()
     try:
@@ -188,7 +228,10 @@
 
 def _drive_requests(agent, fabric, flows, count, wait):
     r"""Send requests and count what arrives at the agent's socket."""
-    prepared = request_datagrams(flows, count)
+    return _drive(agent, fabric, request_datagrams(flows, count), count, wait)
+
+
+def _drive(agent, fabric, prepared, count, wait):
     sent = received = 0
     if wait:
         _wait_for_child(agent, fabric, prepared[0])
@@ -204,6 +247,16 @@
     return received
 
 
+def _drive_packets(agent, fabric, flows, count, wait):
+    r"""Send packets of opaque flows and count what reaches the agent."""
+    generator = random.Random(1)
+    prepared = [
+        plain_format.encode(
+            opaque_flow(generator.randrange(flows)), 0, PAYLOAD)
+        for _ in range(min(flows, count))]
+    return _drive(agent, fabric, prepared, count, wait)
+
+
 def _drive_opens(agent, fabric, flows, count, wait):
     r"""Send opens, answer them as an agent, count what comes back."""
     packets = codec.make_data_path_codec(token.Sealer([KEY]))
@@ -230,7 +283,9 @@
     return received
 
 
-DRIVERS = {'request': _drive_requests, 'open': _drive_opens}
+DRIVERS = {
+    'request': _drive_requests, 'open': _drive_opens,
+    'packet': _drive_packets}
 
 
 def _wait_for_child(agent, fabric, data):
@@ -263,6 +318,9 @@
     ('balancer', 'request', 30_000, 10),
     ('balancer', 'request', 300_000, 10),
     ('balancer', 'request', 1000, 1000),
+    ('opaque', 'packet', 1000, 10),
+    ('opaque', 'packet', 30_000, 10),
+    ('opaque', 'packet', 190_000, 10),
     ('balancer', 'open', 1, 10),
     ('balancer', 'open', 1, 100),
     ('balancer', 'open', 1, 1000),
@@ -272,13 +330,14 @@
 @click.command()
 @click.option('--serve', 'served', type=click.Choice(KINDS))
 @click.option('--serve-targets', default=10)
+@click.option('--serve-flows', default=1000)
 @click.option('--count', default=100_000, help='datagrams for each row')
 @click.option('--output', type=click.Choice(['table', 'json']),
               default='table')
-def main(served, serve_targets, count, output):
+def main(served, serve_targets, serve_flows, count, output):
     r"""Measure one balancer against a bare forwarder."""
     if served:
-        serve(served, serve_targets)
+        serve(served, serve_targets, serve_flows)
         return
     rows = [
         measure(kind, work, flows, targets, count).row()
@@ -289,8 +348,10 @@
         click.echo(json.dumps([dict(zip(columns, row)) for row in rows]))
         return
     click.echo(tabulate.tabulate(rows, headers=columns))
-    share = rows[1][4] / rows[0][4]
-    click.echo('balancer / bare forwarder: %.0f%%' % (share * 100))
+    bare = rows[0][4]
+    for kind in KINDS[1:]:
+        rate = next(row[4] for row in rows if row[0] == kind)
+        click.echo('%s / bare forwarder: %.0f%%' % (kind, rate / bare * 100))
 
 
 if __name__ == '__main__':
