--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -358,6 +359,8 @@
               'seeds that failed')
 def main(seed, seeds, seconds, fault_count, regressions, size, keep):
     r"""Play seeded faults against the real programs on loopback."""
+    # Without a handler the processes would outlive the run.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
     first = int(time.time()) if seed is None else seed
     numbers = range(first, first + seeds)
     if regressions:
