--- a/soak/system.py
+++ b/soak/system.py
@@ -31,7 +31,6 @@
 HTTP_TIMEOUT_S = 1.5
 ROTATION_S = 0.5
 DRAIN_MS = 2500
-START_S = 30
 
 
 class Service(record.Record):
