Count the share's retries against the floor of the retry budget

The floor now takes a token only if all retries of the window stay within both. Ruled out: a wider span, which only moves the edge.

The log formatter and the plugin that counts tests declare their slots.

--- a/poplarstep/edge/logs.py
+++ b/poplarstep/edge/logs.py
@@ -53,6 +53,8 @@
         Returns the version of the node's configuration.
     """
 
+    __slots__ = ('settings', 'version')
+
     def __init__(self, settings):
         super().__init__()
         self.settings = settings
--- a/poplarstep/limits/budget.py
+++ b/poplarstep/limits/budget.py
@@ -89,6 +89,18 @@
         burst * MILLITOKENS_PER_TOKEN, now)
 
 
+class Span:
+    r"""Counts of one span of a retry budget's window."""
+
+    __slots__ = ('number', 'attempts', 'share_retries', 'floor_retries')
+
+    def __init__(self, number):
+        self.number = number
+        self.attempts = 0
+        self.share_retries = 0
+        self.floor_retries = 0
+
+
 class RetryBudget:
     r"""Limits retries to a share of the first attempts in a sliding window.
 
@@ -100,7 +112,10 @@
     span that overlaps it, so the share allows a retry only if it holds in
     the exact window that ends at the retry. A token bucket, ``floor``,
     allows a constant rate of retries in addition to the share, so that a
-    caller with few first attempts can retry too.
+    caller with few first attempts can retry too. Retries that the share
+    allowed stay in the window after their first attempts have left it, so
+    the floor allows a retry only if all retries of the window, both kinds
+    together, stay within the share and the floor.
 
     Examples
     ========
@@ -113,10 +128,9 @@
 
     """
 
-    # Each span is a list of its number, its first attempts and its retries.
     __slots__ = (
         'share_percent', 'window_ms', 'span_ms', 'floor', 'spans',
-        'attempts', 'retries')
+        'attempts', 'share_retries', 'floor_retries')
 
     def __init__(self, share_percent, window_ms, floor):
         self.share_percent = share_percent
@@ -125,41 +139,60 @@
         self.floor = floor
         self.spans = collections.deque()
         self.attempts = 0
-        self.retries = 0
+        self.share_retries = 0
+        self.floor_retries = 0
 
     def attempted(self, now):
         r"""Count a first attempt."""
-        self._current_span(now)[1] += 1
+        self._current_span(now).attempts += 1
         self.attempts += 1
 
     def try_retry(self, now):
         r"""Count a retry if one is allowed; return whether it is."""
         span = self._current_span(now)
         allowed_percent = self.attempts * self.share_percent
-        if (self.retries + 1) * 100 <= allowed_percent:
-            span[2] += 1
-            self.retries += 1
+        if (self.share_retries + 1) * 100 <= allowed_percent:
+            span.share_retries += 1
+            self.share_retries += 1
             return True
-        return self.floor is not None and self.floor.try_take(now)
+        if not self._floor_allows(now):
+            return False
+        span.floor_retries += 1
+        self.floor_retries += 1
+        return True
+
+    def _floor_allows(self, now):
+        r"""Take a token of the floor if the window has room for a retry."""
+        if self.floor is None:
+            return False
+        # The floor gives its rate for the window and its burst.
+        floor_milli = (
+            self.window_ms * self.floor.rate_per_s + self.floor.burst_milli)
+        allowed_percent = (
+            self.attempts * self.share_percent
+            + floor_milli * 100 // MILLITOKENS_PER_TOKEN)
+        retries = self.share_retries + self.floor_retries
+        return (retries + 1) * 100 <= allowed_percent and (
+            self.floor.try_take(now))
 
     def _current_span(self, now):
         number = now // self.span_ms
-        if self.spans and number <= self.spans[-1][0]:
+        if self.spans and number <= self.spans[-1].number:
             return self.spans[-1]
         # The window begins inside this span.
         first_number = number - SPANS_PER_WINDOW
-        while self.spans and self.spans[0][0] < first_number:
-            _, attempts, retries = self.spans.popleft()
-            self.attempts -= attempts
-            self.retries -= retries
+        while self.spans and self.spans[0].number < first_number:
+            removed = self.spans.popleft()
+            self.attempts -= removed.attempts
+            self.share_retries -= removed.share_retries
+            self.floor_retries -= removed.floor_retries
         for span in self.spans:
-            if span[0] > first_number:
+            if span.number > first_number:
                 break
-            self.attempts -= span[1]
-            span[1] = 0
-        span = [number, 0, 0]
-        self.spans.append(span)
-        return span
+            self.attempts -= span.attempts
+            span.attempts = 0
+        self.spans.append(Span(number))
+        return self.spans[-1]
 
 
 def make_retry_budget(
--- a/poplarstep/limits/tests/test_budget.py
+++ b/poplarstep/limits/tests/test_budget.py
@@ -85,6 +85,28 @@
                 recent * 0.1 + floor_per_s * 11)
 
 
+@pytest.mark.parametrize('steps, allowed', [
+    (((0, 11, 0), (0, 60, 0), (1000, 9, 9), (3000, 0, 1), (3000, 0, 1),
+      (3000, 0, 1)), 11),
+    (((0, 100, 10), (10_000, 0, 2)), 1),
+    (((0, 100, 10), (10_250, 0, 2)), 1),
+])
+def test_floor_counts_retries_of_the_share(steps, allowed):
+    """Guards against retries beyond share and floor in one window.
+
+    The share's retries outlive their first attempts in the window.
+    """
+    subject = budget.make_retry_budget(0, floor_per_s=1)
+    now = retries = 0
+    for step_ms, first_attempts, wanted in steps:
+        now += step_ms
+        for _ in range(first_attempts):
+            subject.attempted(now)
+        taken = sum(subject.try_retry(now) for _ in range(wanted))
+        retries += taken if now > 0 else 0
+    assert retries == allowed
+
+
 @pytest.mark.parametrize('first_attempts, floor_per_s, allowed', [
     (0, 0, 0), (9, 0, 0), (10, 0, 1), (1000, 0, 100), (0, 1, 1), (0, 5, 5),
     (100, 2, 12)])
--- a/scenarios/switches.py
+++ b/scenarios/switches.py
@@ -279,6 +279,8 @@
 class Tally:
     r"""Pytest plugin that counts passed tests and lists failed ones."""
 
+    __slots__ = ('passed', 'failed')
+
     def __init__(self):
         self.passed = 0
         self.failed = []
