Send ticks when a stage has something to do

Cause: every tick came by its period. Subscriber and publisher woke up every 50 ms, balancer and agent of opaque flows every 20 ms, whether or not anything was due; 64 balancers and 136 agents pay for that in processor time.

A stage registers with due_at when it next has something to do; the tick comes then, at most once in a period, so no timeout is handled later than before. The subscriber and the publisher use it. Ruled out: one timer for each timeout, which would need cancellation and an order of ticks that depends on it; the order of ticks stays that of the subscriptions.

--- a/poplarstep/core/simulation.py
+++ b/poplarstep/core/simulation.py
@@ -76,6 +76,7 @@
         self.decoder_by_address = decoder_by_address
         self.pipeline = pipeline
         self.timers = timers
+        timers.attach(pipeline.due_by_tick())
         self.performer_by_type = {
             effect.Requeue: lambda node, item: [item.message],
             **performer_by_type,
@@ -293,7 +294,7 @@
             self._schedule_wake(node)
 
     def _schedule_wake(self, node):
-        deadline = node.timers.next_deadline()
+        deadline = node.timers.next_deadline(self.now + node.offset_ms)
         if deadline is None or not node.alive:
             return
         wake_at = max(self.now, deadline - node.offset_ms)
--- a/poplarstep/core/stage.py
+++ b/poplarstep/core/stage.py
@@ -11,6 +11,9 @@
 """
 
 
+import functools
+
+
 class Stage:
     r"""Registry of handlers by message type.
 
@@ -28,11 +31,12 @@
 
     """
 
-    __slots__ = ('name', 'handler_by_type')
+    __slots__ = ('name', 'handler_by_type', 'due_by_tick')
 
     def __init__(self, name):
         self.name = name
         self.handler_by_type = {}
+        self.due_by_tick = {}
 
     def handles(self, *message_types):
         r"""Return a decorator that registers a handler for message types."""
@@ -45,6 +49,18 @@
             return handler
         return decorate
 
+    def due_at(self, tick_name):
+        r"""Return a decorator for the function that says when a tick is due.
+
+        The function takes ``(state, now)`` and returns the time in ms at
+        which the stage next has something to do, or None. A time in the past
+        means as soon as the period of the tick allows.
+        """
+        def decorate(function):
+            self.due_by_tick[tick_name] = function
+            return function
+        return decorate
+
     def process(self, state, message, now):
         r"""Return the messages that result from one message.
 
@@ -87,6 +103,16 @@
         self.steps = tuple(steps)
         self.next_steps_by_type = {}
 
+    def due_by_tick(self):
+        r"""Return functions of ``now`` that say when a tick is due, by name.
+
+        A tick for which no stage registered a function is periodic.
+        """
+        return {
+            name: functools.partial(function, state)
+            for stage, state in self.steps
+            for name, function in stage.due_by_tick.items()}
+
     def process(self, message, now):
         r"""Run one message through all stages; return what comes out."""
         return self._process_from(0, message, now)
--- a/poplarstep/dissemination/publisher.py
+++ b/poplarstep/dissemination/publisher.py
@@ -69,6 +69,9 @@
         Longest time for which a poll is held.
     upstreams : callable
         Returns the inboxes of the present control hosts.
+    next_flush_at : int
+        No held poll is due before this time, but for a new version or the
+        end of the lease.
     refused, snapshots, updates : int
         Numbers of polls dropped because too many were held, of snapshots
         sent and of updates sent.
@@ -76,7 +79,8 @@
 
     __slots__ = (
         'catalogue', 'reports', 'lease_left', 'leader', 'hold_ms',
-        'held_by_node', 'refused', 'snapshots', 'updates', 'upstreams')
+        'held_by_node', 'refused', 'snapshots', 'updates', 'upstreams',
+        'next_flush_at')
 
     def __init__(
             self, catalogue, reports, lease_left, leader, hold_ms,
@@ -88,6 +92,7 @@
         self.lease_left = lease_left
         self.leader = leader
         self.held_by_node = {}
+        self.next_flush_at = 0
         self.refused = 0
         self.snapshots = 0
         self.updates = 0
@@ -121,9 +126,19 @@
         state.refused += 1
         return []
     state.held_by_node[poll.node] = held
+    state.next_flush_at = min(state.next_flush_at, _due_at(state, held))
     return []
 
 
+@PUBLISHER.due_at(TICK)
+def due_at(state, now):
+    r"""Return when held polls or the removal of silent nodes are due."""
+    due = state.reports.sweep_due
+    if state.held_by_node:
+        due = min(due, state.next_flush_at, now + state.lease_left(now))
+    return due
+
+
 @PUBLISHER.handles(timer.Tick)
 def tick(state, event, now):
     r"""Answer the polls whose hold time has passed."""
@@ -155,7 +170,11 @@
     due = [
         item for item in state.held_by_node.values()
         if _is_due(state, item, now)]
-    return _answer_all(state, due, now)
+    messages = _answer_all(state, due, now)
+    state.next_flush_at = min(
+        (_due_at(state, item) for item in state.held_by_node.values()),
+        default=now + state.hold_ms)
+    return messages
 
 
 def _answer_all(state, due, now):
@@ -165,16 +184,21 @@
 
 
 def _is_due(state, held, now):
-    waited = now - held.arrived_at
-    if held.poll.lease_only:
-        return waited >= LEASE_ONLY_HOLD_MS
-    return (
+    if now >= _due_at(state, held):
+        return True
+    return not held.poll.lease_only and (
         held.poll.version < state.catalogue.version
-        or waited >= state.hold_ms - upstream.jitter(
-            held.poll.node, held.poll.sequence, HOLD_JITTER_MS)
         or state.lease_left(now) <= 0)
 
 
+def _due_at(state, held):
+    r"""Return when the hold time of a poll has passed."""
+    if held.poll.lease_only:
+        return held.arrived_at + LEASE_ONLY_HOLD_MS
+    return held.arrived_at + state.hold_ms - upstream.jitter(
+        held.poll.node, held.poll.sequence, HOLD_JITTER_MS)
+
+
 def _filter_for_agent(node, changes, snapshot):
     r"""Omit the targets of other agents.
 
--- a/poplarstep/dissemination/subscriber.py
+++ b/poplarstep/dissemination/subscriber.py
@@ -151,6 +151,21 @@
     return now < state.lease_until
 
 
+@SUBSCRIBER.due_at(TICK)
+def due_at(state, now):
+    r"""Return when the next poll, timeout or end of the lease is due."""
+    if lease_holds(state, now) != state.lease_was_held or (
+            state.next_poll_at is None):
+        return now
+    if state.pending_until > state.lease_until and (
+            state.catalogue.version >= state.pending_version):
+        return now
+    due = state.next_poll_at
+    if state.poll_outstanding:
+        due = state.sent_at + _poll_timeout_ms(state)
+    return min(due, state.lease_until) if state.lease_was_held else due
+
+
 @SUBSCRIBER.handles(timer.Tick)
 def tick(state, event, now):
     r"""Send a poll that is due; after a timeout, try the next upstream."""
--- a/poplarstep/edge/task.py
+++ b/poplarstep/edge/task.py
@@ -69,6 +69,7 @@
         self.name = name
         self.pipeline = pipeline
         self.timers = timers
+        timers.attach(pipeline.due_by_tick())
         self.performer_by_type = {
             effect.LogEvent: make_event_logger(),
             effect.Requeue: lambda item: [item.message],
@@ -136,10 +137,11 @@
         return performer(item) or ()
 
     def _wait(self):
-        deadline = self.timers.next_deadline()
+        now = clock.now_ms()
+        deadline = self.timers.next_deadline(now)
         timeout = None
         if deadline is not None:
-            timeout = max(0, deadline - clock.now_ms()) / (
+            timeout = max(0, deadline - now) / (
                 clock.MILLISECONDS_PER_SECOND)
         try:
             batch = self.inbox.get(timeout=timeout)
