Offer and look up a flow among the candidates of its hash

Cause: a packet of an unknown flow went to every agent of its route, body and all, up to 12 times: 109 datagrams a packet at a service of 109 targets, 100 kB for one request of 900 bytes, half a second of a link of 1.5 Mbit/s. Each open weighed all targets of the service.

A ring for each service orders its targets by the flow's hash. A packet with data waits at the balancer, the question carries its key only. Agents that cannot know say so. Without an answer the lookup is widened within a limited rate. Ruled out: a directory of flows at hosts chosen by hash (two messages for each flow, although few flows move), rendezvous hashing over all targets (the cost of an open grows with the service).

--- a/poplarstep/configuration/catalogue.py
+++ b/poplarstep/configuration/catalogue.py
@@ -174,6 +174,11 @@
                     self.changes[0].version == self.oldest_base):
                 self.changes.popleft()
 
+    def is_selectable(self, target):
+        r"""Return whether a target may take new flows."""
+        return not target.leaving and not target.drained and (
+            not self.data_centre_out(target.data_centre))
+
     def _rebuild_selectable(self, service):
         targets = self.targets_by_service.get(service, {}).values()
         if service not in self.service_by_number:
@@ -181,9 +186,7 @@
             self.selectable_by_service.pop(service, None)
             return
         self.selectable_by_service[service] = tuple(
-            item for item in targets
-            if not item.leaving and not item.drained
-            and not self.data_centre_out(item.data_centre))
+            item for item in targets if self.is_selectable(item))
 
 
 @APPLIERS.register(model.Service)
--- a/poplarstep/edge/tests/test_wire.py
+++ b/poplarstep/edge/tests/test_wire.py
@@ -19,7 +19,8 @@
         'RequestVote', 'Route', 'Service', 'Share', 'Snapshot',
         'SnapshotReply', 'Standing', 'Target', 'Update', 'VoteReply')),
     (wire.make_flow_codec(), (
-        'Carry', 'Find', 'Held', 'Load', 'NotTaken', 'Offer', 'Stray')),
+        'Carry', 'Find', 'FlowQuery', 'FlowUncertain', 'Held', 'Load',
+        'NotTaken', 'Offer', 'Stray')),
     (wire.make_command_codec(), (
         'Announce', 'Announcement', 'ChangeService', 'Command',
         'CreateService', 'DataCentre', 'DrainTarget', 'ExpireTargets',
--- a/poplarstep/limits/budget.py
+++ b/poplarstep/limits/budget.py
@@ -47,8 +47,8 @@
                 + (now - self.updated_at) * self.rate_per_s)
             self.updated_at = now
 
-    def try_take(self, now, reserve_milli=0):
-        r"""Take one token if one is left above the reserve.
+    def try_take(self, now, reserve_milli=0, tokens=1):
+        r"""Take tokens if as many are left above the reserve.
 
         Parameters
         ==========
@@ -57,17 +57,20 @@
             Current time in ms.
         reserve_milli : int
             Thousandths of a token that must be left in the bucket.
+        tokens : int
+            Number of tokens to take.
 
         Returns
         =======
 
         bool
-            Whether a token was taken.
+            Whether the tokens were taken.
         """
         self.refill(now)
-        if self.level_milli < MILLITOKENS_PER_TOKEN + reserve_milli:
+        wanted_milli = tokens * MILLITOKENS_PER_TOKEN
+        if self.level_milli < wanted_milli + reserve_milli:
             return False
-        self.level_milli -= MILLITOKENS_PER_TOKEN
+        self.level_milli -= wanted_milli
         return True
 
 
--- a/poplarstep/opaque_flows/agent.py
+++ b/poplarstep/opaque_flows/agent.py
@@ -25,6 +25,7 @@
 from poplarstep.opaque_flows import admission
 from poplarstep.opaque_flows import agent_state as states
 from poplarstep.opaque_flows import message
+from poplarstep.opaque_flows import pauses
 from poplarstep.opaque_flows import presence
 from poplarstep.opaque_flows import segment as segments
 
@@ -70,9 +71,13 @@
     r"""Start a new flow, queue it, or reject it.
 
     An offer of a flow that has started already is a retransmission and is
-    forwarded.
+    forwarded. An offer that may have waited during a pause of this process
+    is dropped: the balancer has offered the flow elsewhere.
     """
     state.counters.offers += 1
+    if pauses.may_be_stale(state, now):
+        state.counters.outdated_offers += 1
+        return []
     offered = event.message
     flow = state.flow_by_key.get(offered.flow)
     if flow is not None and flow.ended_at is None:
@@ -192,14 +197,34 @@
         state.counters.found += 1
         return _forward(state, event.source, packet, now) + [
             _accepted(state, event.source, packet.flow)]
-    if now - state.started_at > state.flow_limit_ms or (
-            state.target is not None and state.target.no_earlier_agent_run):
+    if not _may_hold_unknown_flow(state, now):
         return []
-    # The target may hold a flow that an earlier run of this agent forwarded.
     state.counters.passed_unsure += 1
     return _forward(state, event.source, packet, now)
 
 
+def _may_hold_unknown_flow(state, now):
+    r"""Return whether an earlier run of this agent may have started flows."""
+    return now - state.started_at <= state.flow_limit_ms and not (
+        state.target is not None and state.target.no_earlier_agent_run)
+
+
+@BALANCER_MESSAGES.handles(message.FlowQuery)
+def flow_query(state, event, now):
+    r"""Tell a balancer whether the target holds, or may hold, a flow."""
+    query = event.message
+    if _belongs_to_other_target(state, query):
+        _forget_flow(state, query, now)
+        return []
+    if query.flow in state.flow_by_key:
+        state.counters.found += 1
+        return [_accepted(state, event.source, query.flow)]
+    if _may_hold_unknown_flow(state, now):
+        return [message.ToNode(
+            event.source, message.FlowUncertain(query.flow))]
+    return []
+
+
 def _forward(state, balancer, packet, now):
     flow = state.flow_by_key.get(packet.flow)
     if flow is None:
@@ -299,15 +324,27 @@
     return queued_offer
 
 
+@AGENT.due_at(TICK)
+def due_at(state, now):
+    r"""Return when the queue, a request or a heartbeat needs a tick."""
+    if state.queue_length or state.occupancy.count():
+        return now
+    due = min(
+        pauses.check_due_at(state, now), presence.silence_due_at(state))
+    if state.flow_by_key:
+        due = min(due, state.next_sweep_at)
+    return due
+
+
 @AGENT.handles(timer.Tick)
 def tick(state, event, now):
     r"""Expire requests, start queued flows and remove idle flows."""
     if event.name != TICK:
         return [event]
-    effects = []
+    effects = pauses.detect(state, now)
     state.occupancy.expire(now, REQUEST_TIMEOUT_MS)
     if state.queue_length:
-        effects = start_queued_flows(state, now)
+        effects += start_queued_flows(state, now)
     if now >= state.next_sweep_at:
         state.next_sweep_at = now + SWEEP_INTERVAL_MS
         _sweep(state, now)
--- a/poplarstep/opaque_flows/agent_state.py
+++ b/poplarstep/opaque_flows/agent_state.py
@@ -61,7 +61,8 @@
 class FlowAgentCounters:
     r"""Counts of events since the agent started; the slots are metric names.
 
-    ``taken`` counts flows that started, ``not_taken`` rejected ones and
+    ``taken`` counts flows that started, ``not_taken`` rejected ones,
+    ``outdated_offers`` those that were dropped after a pause and
     ``disowned`` those that the caller opened at another target. ``carried``
     counts all forwarded packets but opening packets, ``found`` and
     ``passed_unsure`` lookups of flows that the target holds or may hold.
@@ -70,7 +71,8 @@
     __slots__ = (
         'offers', 'taken', 'queued', 'disowned', 'not_taken', 'carried',
         'found', 'passed_unsure', 'returned', 'expired_waiting',
-        'heartbeats', 'outdated_heartbeats', 'restarts', 'to_caller')
+        'heartbeats', 'outdated_heartbeats', 'restarts', 'to_caller',
+        'outdated_offers', 'pauses')
 
     def __init__(self):
         for name in self.__slots__:
@@ -101,6 +103,8 @@
         None until the first heartbeat.
     queue_length : int
         Number of offers in all queues.
+    last_tick_at, resumed_at : int or None
+        See ``poplarstep.opaque_flows.pauses``.
     start_times : deque of int
         When the latest flows started, oldest first.
     leaving : bool
@@ -121,7 +125,8 @@
         'queue_by_priority', 'queue_length', 'start_times', 'leaving',
         'departed', 'last_announcement', 'was_out_of_service',
         'back_in_service_at', 'started_unix_ms', 'counters',
-        'next_sweep_at', 'queue_ms')
+        'next_sweep_at', 'queue_ms', 'last_tick_at',
+        'resumed_at')
 
     def __init__(self, settings, catalogue, incarnation, now):
         self.node = settings['node']
@@ -141,6 +146,8 @@
         self.occupancy = occupancy.Occupancy()
         self.queue_by_priority = {}
         self.queue_length = 0
+        self.last_tick_at = None
+        self.resumed_at = None
         self.start_times = collections.deque()
         self.leaving = False
         self.departed = False
--- a/poplarstep/opaque_flows/balancer.py
+++ b/poplarstep/opaque_flows/balancer.py
@@ -5,36 +5,30 @@
 
 The flow table is only a cache: the agents know which flows their targets
 hold. The network may move a flow to this balancer from another one, and the
-table is empty after a restart. The balancer sends a packet of an unknown
-flow to all agents of the route's services; the agent that holds the flow
-forwards the packet to its target and answers the balancer.
+table is empty after a restart. The balancer then asks agents for the flow.
 
 See Also
 ========
 
 poplarstep.opaque_flows.offers : chooses the target of a new flow.
+poplarstep.opaque_flows.lookups : finds the agent of an unknown flow.
 """
 
 from poplarstep.core import effect
 from poplarstep.core import stage
 from poplarstep.core import timer
 from poplarstep.dissemination import message as dissemination
+from poplarstep.opaque_flows import early_openings
+from poplarstep.opaque_flows import lookups
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import offers
+from poplarstep.opaque_flows import pauses
 from poplarstep.opaque_flows import segment as segments
 
 TICK = 'steering'
 TICK_PERIOD_MS = 20
 # Agents answer an offer at once; this allows for the network and a busy host.
 OFFER_TIMEOUT_MS = 60
-# Number of packets of an unknown flow that are sent to all agents of a route.
-# A flow that no agent holds by then has ended. Its later packets are dropped,
-# and the caller times out.
-MAXIMUM_LOOKUPS = 12
-# If this process is paused for longer, for instance because the host is
-# frozen, the opening packets in the socket buffer are stale: their callers
-# have given up or have retransmitted them.
-PAUSE_THRESHOLD_MS = 400
 SWEEP_INTERVAL_MS = 1000
 # Idle timeout of flows until the configuration sets one.
 DEFAULT_IDLE_MS = 15_000
@@ -48,14 +42,16 @@
 def from_caller(state, event, now):
     r"""Forward one packet of a caller."""
     state.counters.packets += 1
+    segment = event.segment
     if not state.confirmed(now):
         # No reset is sent: callers retransmit, and another balancer may have
         # a confirmed configuration.
         state.counters.unconfirmed += 1
+        if segment.opening and not pauses.may_be_stale(state, now):
+            early_openings.add(state, segment, now)
         return []
-    segment = event.segment
     tracked = state.tracked_by_flow.get(segment.flow)
-    if segment.opening and _may_be_stale(state, now):
+    if segment.opening and pauses.may_be_stale(state, now):
         state.counters.outdated += 1
         return []
     if segment.opening:
@@ -63,20 +59,7 @@
     if tracked is None:
         tracked = offers.add_flow(state, segment.flow, now)
     tracked.last_used = now
-    return _forward(state, tracked, _packet_from_caller(segment))
-
-
-def _may_be_stale(state, now):
-    r"""Return whether packets may have been queued during a pause.
-
-    Either this process has not ticked for a while, or it has ticked once
-    after a pause and is still reading packets that arrived meanwhile.
-    """
-    if state.last_tick_at is None:
-        return False
-    return (
-        now - state.last_tick_at > PAUSE_THRESHOLD_MS
-        or state.resumed_at is not None)
+    return _forward(state, tracked, _packet_from_caller(segment), now)
 
 
 def _packet_from_caller(segment):
@@ -86,32 +69,12 @@
         segment.acknowledged)
 
 
-def _forward(state, tracked, packet):
-    r"""Send a packet to the agent that holds its flow, or to all agents."""
-    if tracked.agent is not None:
-        state.counters.carried += 1
-        return [message.ToNode(tracked.agent, packet)]
-    if tracked.lookup_count >= MAXIMUM_LOOKUPS:
-        return []
-    tracked.lookup_count += 1
-    state.counters.finds += 1
-    lookup = message.FlowLookup(packet)
-    return [
-        message.ToNode(agent, lookup)
-        for agent in _candidate_agents(state, packet.flow)]
-
-
-def _candidate_agents(state, flow):
-    r"""Return the agents of all targets that may hold a flow."""
-    catalogue = state.catalogue
-    route = catalogue.route_by_address.get(segments.service_of(flow))
-    if route is None:
-        return ()
-    return tuple(
-        target.agent
-        for share in route.shares
-        for target in catalogue.targets_by_service.get(
-            share.service, {}).values())
+def _forward(state, tracked, packet, now):
+    r"""Send a packet to the agent that holds its flow, or look it up."""
+    if tracked.agent is None:
+        return lookups.look_up(state, tracked, packet, now)
+    state.counters.carried += 1
+    return [message.ToNode(tracked.agent, packet)]
 
 
 @BALANCER.handles(message.FromNode)
@@ -146,7 +109,16 @@
         return []
     tracked.agent = event.source
     tracked.lookup_count = 0
-    return []
+    return lookups.found(state, tracked)
+
+
+@AGENT_MESSAGES.handles(message.FlowUncertain)
+def flow_uncertain(state, event, now):
+    r"""Send the packets of a flow to an agent that may hold it."""
+    tracked = state.tracked_by_flow.get(event.message.flow)
+    if tracked is None or tracked.agent is not None:
+        return []
+    return lookups.uncertain(state, tracked, event.source)
 
 
 @AGENT_MESSAGES.handles(message.FlowRejected)
@@ -193,13 +165,13 @@
     if tracked is None:
         return []
     if tracked.agent not in (None, event.source):
-        return _forward(state, tracked, _packet_from_agent(answer))
+        return _forward(state, tracked, _packet_from_agent(answer), now)
     if tracked.agent is None:
-        # The packet was sent to all agents, so the agent that holds the flow
+        # The packet was part of a lookup, so the agent that holds the flow
         # has received it.
         return []
     tracked.agent = None
-    return _forward(state, tracked, _packet_from_agent(answer))
+    return _forward(state, tracked, _packet_from_agent(answer), now)
 
 
 def _packet_from_agent(answer):
@@ -208,12 +180,33 @@
         answer.acknowledged)
 
 
+@BALANCER.due_at(TICK)
+def due_at(state, now):
+    r"""Return when an offer, a round, the sweep or a pause check is due.
+
+    Offers and rounds are in the order of their times, so the first one is
+    the earliest.
+    """
+    if state.early_opening_by_flow:
+        return now
+    due = pauses.check_due_at(state, now)
+    if state.tracked_by_flow:
+        due = min(due, state.next_sweep_at)
+    for tracked in state.offered_by_flow.values():
+        due = min(due, tracked.offered_at + OFFER_TIMEOUT_MS)
+        break
+    for retry_at in state.retry_at_by_flow.values():
+        return min(due, retry_at)
+    return due
+
+
 @BALANCER.handles(timer.Tick)
 def tick(state, event, now):
     r"""Handle timeouts of offers, start due rounds and remove idle flows."""
     if event.name != TICK:
         return [event]
-    effects = _detect_pause(state, now)
+    effects = pauses.detect(state, now)
+    effects.extend(_offer_early_openings(state, now))
     for flow, tracked in list(state.offered_by_flow.items()):
         if now - tracked.offered_at >= OFFER_TIMEOUT_MS:
             effects.extend(_offer_timed_out(state, flow, tracked, now))
@@ -226,18 +219,6 @@
     return effects
 
 
-def _detect_pause(state, now):
-    r"""Record a pause of this process until a tick comes in time."""
-    paused_ms = 0 if state.last_tick_at is None else now - state.last_tick_at
-    state.last_tick_at = now
-    if paused_ms <= PAUSE_THRESHOLD_MS:
-        state.resumed_at = None
-        return []
-    state.resumed_at = now
-    state.counters.pauses += 1
-    return [effect.LogEvent('resumed', (('paused_ms', paused_ms),))]
-
-
 def _offer_timed_out(state, flow, tracked, now):
     state.counters.silent_offers += 1
     number = tracked.offered_to.number
@@ -258,6 +239,7 @@
     idle_ms = policy.flow_idle_ms if policy else DEFAULT_IDLE_MS
     for flow in list(state.tracked_by_flow):
         tracked = state.tracked_by_flow[flow]
+        lookups.drop_outdated(tracked, now)
         if now - tracked.last_used > idle_ms and (
                 tracked.offered_to is None
                 and flow not in state.retry_at_by_flow):
@@ -266,6 +248,21 @@
 
 @BALANCER.handles(dissemination.CatalogueChanged)
 def catalogue_changed(state, event, now):
-    r"""Remove the estimates of targets that no longer exist."""
+    r"""Remove the estimates of targets that no longer exist.
+
+    Opening packets that came before the configuration are offered now.
+    """
     state.placement.retain(state.catalogue.target_by_number)
-    return []
+    return _offer_early_openings(state, now)
+
+
+def _offer_early_openings(state, now):
+    r"""Offer the flows that waited for a confirmed configuration."""
+    if not state.early_opening_by_flow or not state.confirmed(now):
+        return []
+    return [
+        item for opening in early_openings.take(state, now)
+        for item in offers.handle_opening(
+            state, opening.segment,
+            state.tracked_by_flow.get(opening.segment.flow), now,
+            opening.received_at)]
--- a/poplarstep/opaque_flows/balancer_state.py
+++ b/poplarstep/opaque_flows/balancer_state.py
@@ -1,6 +1,9 @@
 r"""State of a balancer of opaque flows."""
 
 from poplarstep.core import histogram
+from poplarstep.limits import budget
+from poplarstep.opaque_flows import candidates
+from poplarstep.opaque_flows import lookups
 
 
 class TrackedFlow:
@@ -23,8 +26,14 @@
         targets.
     opening_deadline : int
         When the caller gives up opening the flow.
+    round_count : int
+        Rounds of offers before this one.
     lookup_count : int
-        Packets that were sent to all agents because ``agent`` is not known.
+        Lookups that were sent because ``agent`` is not known.
+    looked_up_at : int
+        When the last lookup was sent.
+    waiting_packets : list of FlowPacket
+        Packets that wait for the answer to the last lookup.
     may_queue : bool
         Whether the agent may queue the last offer.
     reason_by_target : dict
@@ -43,9 +52,13 @@
         'offered_at', 'offer_count', 'service', 'priority',
         'opening_deadline', 'last_used', 'lookup_count', 'may_queue',
         'reason_by_target', 'may_be_open', 'queue_deadline',
-        'opening_received_at')
+        'opening_received_at', 'round_count', 'looked_up_at',
+        'waiting_packets')
 
     def __init__(self, now):
+        self.round_count = 0
+        self.looked_up_at = 0
+        self.waiting_packets = []
         self.agent = None
         self.opening_datagram = b''
         self.tried_targets = ()
@@ -68,7 +81,9 @@
     r"""Counts of events since the balancer started; slots are metric names.
 
     ``carried`` counts packets that were forwarded to the agent of their flow,
-    ``finds`` lookups, ``strays`` packets that targets returned, ``held`` and
+    ``finds`` lookups, ``wide_lookups`` those that went beyond the candidates
+    of the flow, ``lookup_messages`` the messages of all lookups, ``strays``
+    packets that targets returned, ``held`` and
     ``not_taken`` the answers of agents, ``silent_offers`` offers that timed
     out, ``parked`` flows that had to wait for another round of offers,
     ``unconfirmed`` packets that were dropped without a confirmed
@@ -79,7 +94,7 @@
         'packets', 'carried', 'openings', 'offers', 'held', 'not_taken',
         'silent_offers', 'finds', 'strays', 'unknown_route', 'reset_flows',
         'no_target', 'unconfirmed', 'table_full', 'outdated', 'pauses',
-        'parked')
+        'parked', 'wide_lookups', 'lookup_messages')
 
     def __init__(self):
         for name in self.__slots__:
@@ -96,6 +111,13 @@
         The flow table; see ``TrackedFlow``.
     offered_by_flow : dict
         The entries of the flow table whose last offer is not answered.
+    candidates : CandidateIndex
+        Finds the targets that may take or hold a flow.
+    wide_lookups : TokenBucket
+        Limits the messages of lookups beyond the candidates of a flow.
+    early_opening_by_flow : dict
+        Opening packets that arrived before a confirmed configuration, oldest
+        first; see ``poplarstep.opaque_flows.early_openings``.
     retry_at_by_flow : dict
         Flows that no target accepted, and when the next round of offers
         starts, in ms.
@@ -109,14 +131,20 @@
     __slots__ = (
         'catalogue', 'confirmed', 'placement', 'random', 'tracked_by_flow',
         'offered_by_flow', 'retry_at_by_flow', 'counters', 'next_sweep_at',
-        'last_tick_at', 'resumed_at', 'opening_ms')
+        'last_tick_at', 'resumed_at', 'opening_ms', 'candidates',
+        'wide_lookups', 'early_opening_by_flow')
 
     def __init__(self, catalogue, confirmed, placement, random):
         self.catalogue = catalogue
+        self.candidates = candidates.CandidateIndex(catalogue)
+        self.wide_lookups = budget.make_token_bucket(
+            lookups.WIDE_MESSAGES_PER_S, lookups.MAXIMUM_WIDE_MESSAGES,
+            now=0)
         self.confirmed = confirmed
         self.placement = placement
         self.random = random
         self.tracked_by_flow = {}
+        self.early_opening_by_flow = {}
         self.offered_by_flow = {}
         self.retry_at_by_flow = {}
         self.counters = FlowBalancerCounters()
--- a/poplarstep/opaque_flows/message.py
+++ b/poplarstep/opaque_flows/message.py
@@ -5,9 +5,9 @@
 
 A balancer offers the opening packet of a flow to one agent after the other
 until one accepts it. That agent then holds the flow: later packets are sent
-to it. A balancer that does not know which agent holds a flow sends the
-packet to all agents of the route. Any message may be lost or duplicated;
-callers retransmit their packets.
+to it. A balancer that does not know which agent holds a flow asks the agents
+of its candidates, see ``poplarstep.opaque_flows.lookups``. Any message may
+be lost or duplicated; callers retransmit their packets.
 """
 
 from poplarstep.core import address
@@ -104,9 +104,8 @@
 class FlowLookup(record.Record):
     r"""Packet of a flow whose agent the balancer does not know.
 
-    The balancer sends it to all agents of the route. An agent passes the
-    packet to its target if it holds the flow, or if it can't know because it
-    may have started after the flow was opened.
+    An agent passes the packet to its target if it holds the flow, or if it
+    can't know because it may have started after the flow was opened.
     """
 
     __slots__ = ('packet',)
@@ -116,6 +115,30 @@
         self.packet = packet
 
 
+class FlowQuery(record.Record):
+    r"""Question whether an agent holds a flow; carries no packet.
+
+    The balancer keeps the packets of the flow until an agent answers.
+    """
+
+    __slots__ = ('flow', 'acknowledged')
+
+    def __init__(
+            self, flow: bytes,
+            acknowledged: int = segments.NO_SEQUENCE_NUMBER):
+        self.flow = flow
+        self.acknowledged = acknowledged
+
+
+class FlowUncertain(record.Record):
+    r"""Answer: the target may hold the flow, but the agent can't know."""
+
+    __slots__ = ('flow',)
+
+    def __init__(self, flow: bytes):
+        self.flow = flow
+
+
 class FlowAccepted(record.Record):
     r"""Answer: the sending agent holds the flow, or has queued it."""
 
@@ -158,8 +181,8 @@
         self.datagram = datagram
 
 
-TO_AGENT = (Offer, FlowPacket, FlowLookup)
-TO_BALANCER = (FlowAccepted, FlowRejected, ReturnedPacket)
+TO_AGENT = (Offer, FlowPacket, FlowLookup, FlowQuery)
+TO_BALANCER = (FlowAccepted, FlowRejected, ReturnedPacket, FlowUncertain)
 
 
 class FromCaller(record.Record):
--- a/poplarstep/opaque_flows/offers.py
+++ b/poplarstep/opaque_flows/offers.py
@@ -9,8 +9,9 @@
 next target is tried, so a lost datagram or a host that is down delays the
 flow by less than a retransmission by the caller would.
 
-If all targets reject a flow and one of the reasons may pass, a new round of
-offers starts a little later.
+A round of offers goes to the candidates of the flow, see
+``poplarstep.opaque_flows.candidates``. If all reject the flow and one of the
+reasons may pass, a new round with more candidates starts a little later.
 """
 
 from poplarstep.core import effect
@@ -53,10 +54,12 @@
     return tracked
 
 
-def handle_opening(state, segment, tracked, now):
+def handle_opening(state, segment, tracked, now, received_at=None):
     r"""Offer a new flow, or send a copy to the agent that accepted it.
 
     Copies of an opening packet are dropped while the flow is being offered.
+    ``received_at`` is when the packet arrived, by default now; the time until
+    the caller gives up counts from it.
     """
     route = state.catalogue.route_by_address.get(
         segments.service_of(segment.flow))
@@ -74,12 +77,14 @@
                 tracked, segment.flow, segment.datagram, now))]
     state.counters.openings += 1
     tracked = add_flow(state, segment.flow, now)
+    if received_at is None:
+        received_at = now
     tracked.opening_datagram = segment.datagram
-    tracked.opening_received_at = now
+    tracked.opening_received_at = received_at
     tracked.may_be_open = segment.repeated
     tracked.service = _choose_service(state, route)
     tracked.priority = route.priority
-    tracked.opening_deadline = now + min(
+    tracked.opening_deadline = received_at + min(
         CALLER_OPEN_TIMEOUT_MS, route.timeout_ms)
     objective_ms = route.objective_ms or route.timeout_ms
     tracked.queue_deadline = min(
@@ -104,8 +109,8 @@
 
 def next_offer(state, flow, tracked, now):
     r"""Offer a flow to the next target, wait for a new round, or refuse it."""
-    candidates = state.catalogue.selectable_by_service.get(
-        tracked.service, ())
+    candidates = state.candidates.offered(
+        tracked.service, flow, tracked.round_count)
     target = None
     if tracked.offer_count < OFFERS_WITHOUT_QUEUE:
         target = state.placement.choose(candidates, tracked.tried_targets, now)
@@ -147,6 +152,7 @@
     tracked.tried_targets = ()
     tracked.reason_by_target = {}
     tracked.offer_count = 0
+    tracked.round_count += 1
     return next_offer(state, flow, tracked, now)
 
 
--- a/poplarstep/opaque_flows/presence.py
+++ b/poplarstep/opaque_flows/presence.py
@@ -7,6 +7,8 @@
 the 3 s after which a leaving target gets no new work start at the answer.
 """
 
+import math
+
 from poplarstep.configuration import model
 from poplarstep.core import effect
 from poplarstep.core import stage
@@ -15,6 +17,8 @@
 from poplarstep.opaque_flows import target as targets
 
 TICK = 'hold'
+# Position of ``leaving`` in ``last_announcement``.
+LEAVING_FIELD = 2
 
 PRESENCE = stage.Stage('presence')
 
@@ -98,6 +102,18 @@
     return _announce(state, now)
 
 
+def silence_due_at(state):
+    r"""Return when a target without a heartbeat counts as silent, in ms.
+
+    A target that is announced as leaving already is not announced again.
+    """
+    announced = state.last_announcement
+    if state.target is None or (
+            announced is not None and announced[LEAVING_FIELD]):
+        return math.inf
+    return state.target.last_heartbeat_at + state.heartbeat_timeout_ms + 1
+
+
 @PRESENCE.handles(timer.Tick)
 def check_silence(state, event, now):
     r"""Announce a target whose heartbeats have stopped as leaving."""
