--- a/poplarstep/opaque_flows/agent.py
+++ b/poplarstep/opaque_flows/agent.py
@@ -17,6 +17,7 @@
 """
 
 import collections
+import math
 
 from poplarstep.core import effect
 from poplarstep.core import stage
@@ -299,6 +300,10 @@
     if state.target is None:
         return effects
     capacity = states.slots(state) + EXTRA_STARTS
+    if state.leaving or state.departed or state.target.leaving:
+        # All queued flows are rejected below: other targets can start them
+        # before this process or its target ends.
+        capacity = math.inf
     while state.queue_length and state.occupancy.count() < capacity:
         queued_offer = _next_queued(state)
         state.queue_ms.observe(now - queued_offer.queued_at)
