Limit cold targets only where the configuration names a rate

Cause: a configuration without a rate for cold targets was taken as a rate of zero, so each target that had just started got at most the allowance of five flows a second. After a loss of all hosts every target is cold, and 10 targets took 50 of 200 flows a second for two seconds.

A service whose configuration names no rate has no such limit; the slots bound what its targets get.

--- a/poplarstep/opaque_flows/admission.py
+++ b/poplarstep/opaque_flows/admission.py
@@ -31,8 +31,8 @@
         return message.LEAVING
     if states.is_data_centre_out(state):
         return message.DATA_CENTRE_OUT
-    if is_cold(state, now) and starts_in_window(state, now) >= cold_limit(
-            state, configured):
+    if configured.cold_per_second > 0 and is_cold(state, now) and (
+            starts_in_window(state, now) >= cold_limit(state, configured)):
         return message.COLD
     return ''
 
@@ -45,7 +45,11 @@
 
 
 def cold_limit(state, service):
-    r"""Return how many flows a cold target may start in one second."""
+    r"""Return how many flows a cold target may start in one second.
+
+    A service whose configuration names no rate has no limit: the slots bound
+    what its targets get.
+    """
     return max(1, int(
         service.cold_per_second * state.cold_factor + state.cold_slack))
 
--- a/poplarstep/opaque_flows/tests/test_starting.py
+++ b/poplarstep/opaque_flows/tests/test_starting.py
@@ -1,4 +1,4 @@
-"""Tests of pauses and of starting balancers."""
+"""Tests of cold targets, of pauses and of starting balancers."""
 
 import pytest
 
@@ -13,6 +13,23 @@
 TICK = timer.Tick(agent.TICK)
 
 
+@pytest.mark.parametrize('cold_per_second, started', [
+    pytest.param(fixtures.COLD_FLOWS_PER_S, 8, id='limit of the operators'),
+    pytest.param(0.0, 12, id='no limit set'),
+])
+def test_cold_target_has_the_limit_that_operators_set(
+        cold_per_second, started):
+    """Guards against flows beyond the limit, and a limit that nobody set."""
+    state = fixtures.make_agent(slots=20, cold_ms=2000)
+    service = state.catalogue.service_by_name['dispatch']
+    state.catalogue.service_by_name['dispatch'] = service.replace(
+        cold_per_second=cold_per_second)
+    for number in range(12):
+        fixtures.send_to_agent(state, fixtures.offer(
+            fixtures.numbered_flow_key(number)), now=1)
+    assert state.counters.taken == started
+
+
 @pytest.mark.parametrize('paused_ms, dropped', [(300, False), (3000, True)])
 def test_offers_that_waited_for_a_paused_agent_are_dropped(
         paused_ms, dropped):
