Keep flows that waited for a start behind those that can be in time

Cause: after a loss of all hosts the opening packets of more than a second reach the targets at once. Most can't be answered within their objective, but they took queue places, or were refused as overloaded with a reset; their callers' retries came on top.

A flow that has waited beyond the part of its objective for queues is late. It gets no queue place: a target with a free slot takes it, and it is refused when its caller gives up. Late flows wait while others are refused.

An agent also answers a copy of a queued opening packet as accepted; it rejected the copy of a flow that it started later.

--- a/benchmarks/flows.py
+++ b/benchmarks/flows.py
@@ -16,6 +16,7 @@
 # Factors of the service time of each target, as on the deployments' hosts.
 NILE_HOOD_SERVICE_FACTORS = (0.7, 0.7, 1.7, 0.7, 0.7, 1.7, 0.7)
 GULFLINE_SERVICE_FACTORS = (0.55, 1.2, 1.2, 1.2, 0.55, 1.2, 1.2)
+LARGE_SERVICE_FACTORS = (0.7, 0.7, 1.7) * 5
 SCENARIOS = {
     'nile-hood': flow_model.Scenario(
         NILE_HOOD_SERVICE_FACTORS, 2, 375.0, 16.0, 100, 500, 3.0),
@@ -27,6 +28,9 @@
         GULFLINE_SERVICE_FACTORS, 3, 375.0, 23.5, 143, 2000, 1.0),
     'gulfline, burst': flow_model.Scenario(
         GULFLINE_SERVICE_FACTORS, 3, 640.0, 23.5, 143, 2000, 1.0),
+    'large, after a loss of all hosts': flow_model.Scenario(
+        LARGE_SERVICE_FACTORS, 1, 600.0, 16.0, 506, 1896, 1.0, balancers=10,
+        confirmed_at_ms=1300),
 }
 
 
--- a/benchmarks/tests/test_flow_model.py
+++ b/benchmarks/tests/test_flow_model.py
@@ -24,3 +24,17 @@
     assert outcome.lost <= max_lost * outcome.requests
     answered = len(outcome.latencies_ms)
     assert answered + outcome.refused + outcome.lost == outcome.requests
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_callers_of_starting_balancers_are_answered(seed):
+    """Guards against refusals that outlast a loss of all hosts.
+
+    The balancers get their configuration after 1.3 s; callers wait for 1.9 s.
+    The flows that waited meanwhile must not take the places of later ones.
+    """
+    scenario = flows.SCENARIOS['large, after a loss of all hosts']
+    outcome = flows.measure(scenario, 'two-choices', seed=seed, seconds=4)
+    assert len(outcome.latencies_ms) >= 0.99 * outcome.requests
+    waited = scenario.confirmed_at_ms / 4000
+    assert outcome.share_within(scenario.objective_ms) >= 0.95 * (1 - waited)
--- a/poplarstep/opaque_flows/admission.py
+++ b/poplarstep/opaque_flows/admission.py
@@ -92,6 +92,12 @@
     return excess * state.occupancy.service_us / slots / 1000
 
 
+def is_queued(state, flow):
+    r"""Return whether a flow is queued, at any priority."""
+    return state.queue_length > 0 and any(
+        flow in queue for queue in state.queue_by_priority.values())
+
+
 def has_free_slot(state):
     r"""Return whether the target has a free slot and the queue is empty."""
     return not state.queue_length and (
--- a/poplarstep/opaque_flows/agent.py
+++ b/poplarstep/opaque_flows/agent.py
@@ -87,6 +87,10 @@
             message.ToTarget(offered.datagram),
             _accepted(state, event.source, offered.flow)]
     reason = admission.rejection_reason(state, offered.service, now)
+    if not reason and admission.is_queued(state, offered.flow):
+        # A copy of the opening packet: rejecting it would refuse a flow that
+        # starts later.
+        return [_accepted(state, event.source, offered.flow)]
     if not reason:
         reason = admission.overload_reason(state, offered)
     if reason:
--- a/poplarstep/opaque_flows/balancer.py
+++ b/poplarstep/opaque_flows/balancer.py
@@ -141,6 +141,7 @@
 def _after_rejection(state, tracked, answer, now):
     if answer.reason == message.OVERLOADED:
         # The flow is refused now, while the caller has time to retry.
+        offers.record_overload(state, tracked, now)
         del state.tracked_by_flow[answer.flow]
         return offers.refuse(
             state, answer.flow, tracked, answer.reason, tracked.may_be_open)
--- a/poplarstep/opaque_flows/balancer_state.py
+++ b/poplarstep/opaque_flows/balancer_state.py
@@ -32,8 +32,13 @@
         Lookups that were sent because ``agent`` is not known.
     looked_up_at : int
         When the last lookup was sent.
-    waiting_packets : list of FlowPacket
+    waiting_packets : sequence of FlowPacket
         Packets that wait for the answer to the last lookup.
+    is_late : bool
+        Whether the flow only gets slots that no other flow waits for; see
+        ``poplarstep.opaque_flows.offers``.
+    late_deadline : int
+        When a late flow must have started.
     may_queue : bool
         Whether the agent may queue the last offer.
     reason_by_target : dict
@@ -53,12 +58,14 @@
         'opening_deadline', 'last_used', 'lookup_count', 'may_queue',
         'reason_by_target', 'may_be_open', 'queue_deadline',
         'opening_received_at', 'round_count', 'looked_up_at',
-        'waiting_packets')
+        'waiting_packets', 'is_late', 'late_deadline')
 
     def __init__(self, now):
         self.round_count = 0
         self.looked_up_at = 0
-        self.waiting_packets = []
+        self.waiting_packets = ()
+        self.is_late = False
+        self.late_deadline = 0
         self.agent = None
         self.opening_datagram = b''
         self.tried_targets = ()
@@ -118,6 +125,8 @@
     early_opening_by_flow : dict
         Opening packets that arrived before a confirmed configuration, oldest
         first; see ``poplarstep.opaque_flows.early_openings``.
+    late_blocked_until : int
+        Late flows are not offered until then.
     retry_at_by_flow : dict
         Flows that no target accepted, and when the next round of offers
         starts, in ms.
@@ -132,7 +141,7 @@
         'catalogue', 'confirmed', 'placement', 'random', 'tracked_by_flow',
         'offered_by_flow', 'retry_at_by_flow', 'counters', 'next_sweep_at',
         'last_tick_at', 'resumed_at', 'opening_ms', 'candidates',
-        'wide_lookups', 'early_opening_by_flow')
+        'wide_lookups', 'early_opening_by_flow', 'late_blocked_until')
 
     def __init__(self, catalogue, confirmed, placement, random):
         self.catalogue = catalogue
@@ -145,6 +154,7 @@
         self.random = random
         self.tracked_by_flow = {}
         self.early_opening_by_flow = {}
+        self.late_blocked_until = 0
         self.offered_by_flow = {}
         self.retry_at_by_flow = {}
         self.counters = FlowBalancerCounters()
--- a/poplarstep/opaque_flows/lookups.py
+++ b/poplarstep/opaque_flows/lookups.py
@@ -41,9 +41,9 @@
     waiting = tracked.waiting_packets
     if waiting and now - tracked.looked_up_at < LOOKUP_TIMEOUT_MS:
         if len(waiting) < MAXIMUM_WAITING_PACKETS:
-            waiting.append(packet)
+            tracked.waiting_packets = (*waiting, packet)
         return []
-    waiting.clear()
+    tracked.waiting_packets = ()
     if tracked.lookup_count >= MAXIMUM_LOOKUPS:
         return []
     agents = _agents_to_ask(state, tracked, packet.flow, now)
@@ -53,7 +53,7 @@
     state.counters.lookup_messages += len(agents)
     question = message.FlowLookup(packet)
     if packet.has_data and len(agents) > MAXIMUM_AGENTS_WITH_PACKET:
-        waiting.append(packet)
+        tracked.waiting_packets = (packet,)
         question = message.FlowQuery(packet.flow, packet.acknowledged)
     return [message.ToNode(agent, question) for agent in agents]
 
@@ -90,7 +90,7 @@
 
 def found(state, tracked):
     r"""Return the waiting packets of a flow whose agent is known now."""
-    waiting, tracked.waiting_packets = tracked.waiting_packets, []
+    waiting, tracked.waiting_packets = tracked.waiting_packets, ()
     state.counters.carried += len(waiting)
     return [message.ToNode(tracked.agent, packet) for packet in waiting]
 
@@ -110,4 +110,4 @@
     r"""Drop the packets of a lookup that no agent has answered in time."""
     if tracked.waiting_packets and (
             now - tracked.looked_up_at >= LOOKUP_TIMEOUT_MS):
-        tracked.waiting_packets.clear()
+        tracked.waiting_packets = ()
--- a/poplarstep/opaque_flows/offers.py
+++ b/poplarstep/opaque_flows/offers.py
@@ -9,6 +9,12 @@
 next target is tried, so a lost datagram or a host that is down delays the
 flow by less than a retransmission by the caller would.
 
+A flow that has waited for its targets, or for the configuration, until it
+can't be answered within its objective any more is late. It is not refused, but
+it gets no place in a queue: a target takes it if it has a free slot. After a
+loss of all hosts the late flows use the capacity that the others leave. While
+other flows are refused, late ones wait.
+
 A round of offers goes to the candidates of the flow, see
 ``poplarstep.opaque_flows.candidates``. If all reject the flow and one of the
 reasons may pass, a new round with more candidates starts a little later.
@@ -29,6 +35,8 @@
 # Part of a route's latency objective that a new flow may spend in queues.
 # Without this bound an overloaded target would answer all requests late.
 QUEUE_FRACTION = 0.5
+# Late flows are not offered for as long after an overload.
+LATE_BLOCKED_MS = 200
 # Time between two rounds of offers of a flow.
 ROUND_INTERVAL_MS = 60
 # Reasons for a rejection that may no longer hold in the next round.
@@ -87,8 +95,10 @@
     tracked.opening_deadline = received_at + min(
         CALLER_OPEN_TIMEOUT_MS, route.timeout_ms)
     objective_ms = route.objective_ms or route.timeout_ms
-    tracked.queue_deadline = min(
-        tracked.opening_deadline, now + int(QUEUE_FRACTION * objective_ms))
+    objective_part_ms = int(QUEUE_FRACTION * objective_ms)
+    tracked.queue_deadline = received_at + objective_part_ms
+    tracked.late_deadline = received_at + min(
+        CALLER_OPEN_TIMEOUT_MS, route.timeout_ms - objective_part_ms)
     return next_offer(state, segment.flow, tracked, now)
 
 
@@ -111,13 +121,10 @@
     r"""Offer a flow to the next target, wait for a new round, or refuse it."""
     candidates = state.candidates.offered(
         tracked.service, flow, tracked.round_count)
-    target = None
-    if tracked.offer_count < OFFERS_WITHOUT_QUEUE:
-        target = state.placement.choose(candidates, tracked.tried_targets, now)
-        tracked.may_queue = len(candidates) == 1
-    if target is None and tracked.offer_count < MAXIMUM_OFFERS_PER_ROUND:
-        target = _shortest_queue(state, tracked, candidates, now)
-        tracked.may_queue = True
+    if now >= tracked.queue_deadline:
+        target = _target_of_late_flow(state, tracked, candidates, now)
+    else:
+        target = _target_in_time(state, tracked, candidates, now)
     if target is None and _may_succeed_later(tracked, candidates, now):
         state.counters.parked += 1
         state.retry_at_by_flow[flow] = now + ROUND_INTERVAL_MS
@@ -138,8 +145,39 @@
         tracked, flow, tracked.opening_datagram, now))]
 
 
+def _target_in_time(state, tracked, candidates, now):
+    r"""Return the next target of a round, at last one that may queue."""
+    if tracked.offer_count < OFFERS_WITHOUT_QUEUE:
+        target = state.placement.choose(candidates, tracked.tried_targets, now)
+        if target is not None:
+            tracked.may_queue = len(candidates) == 1
+            return target
+    if tracked.offer_count >= MAXIMUM_OFFERS_PER_ROUND:
+        return None
+    tracked.may_queue = True
+    return _shortest_queue(state, tracked, candidates, now)
+
+
+def _target_of_late_flow(state, tracked, candidates, now):
+    r"""Return the target that may take a late flow if it has a free slot."""
+    tracked.is_late = True
+    tracked.may_queue = False
+    if now < state.late_blocked_until or (
+            tracked.offer_count >= OFFERS_WITHOUT_QUEUE):
+        return None
+    return state.placement.choose(candidates, tracked.tried_targets, now)
+
+
+def record_overload(state, tracked, now):
+    r"""Keep late flows from delaying others, one of which is refused."""
+    if not tracked.is_late:
+        state.late_blocked_until = now + LATE_BLOCKED_MS
+
+
 def _may_succeed_later(tracked, candidates, now):
     r"""Return whether another round of offers may succeed in time."""
+    if tracked.is_late:
+        return now + ROUND_INTERVAL_MS < tracked.late_deadline
     transient = not candidates or not TRANSIENT_REASONS.isdisjoint(
         tracked.reason_by_target.values())
     return transient and now + ROUND_INTERVAL_MS < tracked.opening_deadline
