Bound the speed that a balancer credits a target with

Cause: a target that fails its requests answers them after little work, and a packet of an opaque flow doesn't show a failure.

Healthy hosts, whose speeds differ by up to 2.4, still get flows by their speed. Ruled out: ejecting targets by an unusual service time, which a cheap kind of request would trigger too.

--- a/poplarstep/opaque_flows/offers.py
+++ b/poplarstep/opaque_flows/offers.py
@@ -200,8 +200,9 @@
         item for item in candidates
         if tracked.reason_by_target.get(item.number) == message.BUSY]
     if busy:
-        return min(
-            busy, key=lambda item: state.placement.wait_us(item, now))
+        shortest_us = state.placement.shortest_us(candidates)
+        return min(busy, key=lambda item: state.placement.wait_us(
+            item, now, shortest_us))
     return state.placement.choose(candidates, tracked.tried_targets, now)
 
 
--- a/poplarstep/opaque_flows/placement.py
+++ b/poplarstep/opaque_flows/placement.py
@@ -10,9 +10,15 @@
 decays with the age of the report, and this balancer's unanswered offers,
 multiplied by the mean service time and divided by the number of slots.
 Balancers do not exchange their estimates.
+
+A target that fails its requests may answer them faster than a healthy one, and
+packets of opaque flows do not show it. A target therefore counts as at most
+``MAXIMUM_SPEED`` times as fast as the median candidate, so it gets few more
+flows than its share.
 """
 
 import math
+import statistics
 
 from poplarstep.core import registry
 
@@ -22,6 +28,8 @@
 # Requests take about 20 ms, so most of a backlog has changed after this time.
 BACKLOG_TIME_CONSTANT_MS = 60.0
 DEFAULT_SERVICE_US = 20_000
+# The fastest hosts of one service are about 2.5 times as fast as its slowest.
+MAXIMUM_SPEED = 2
 # A target that did not answer an offer is avoided for this time, doubled
 # with each further timeout in a row up to the maximum. It is still chosen if
 # no other target is left.
@@ -99,18 +107,27 @@
             if number not in numbers:
                 del self.estimate_by_number[number]
 
-    def wait_us(self, target, now):
-        r"""Return the estimated wait of a new request, in microseconds."""
+    def wait_us(self, target, now, shortest_us=0):
+        r"""Return the estimated wait of a new request, in microseconds.
+
+        ``shortest_us`` is the shortest credible service time.
+        """
         estimate = self.estimate(target.number)
         decay = math.exp(
             (estimate.reported_at - now) / BACKLOG_TIME_CONSTANT_MS)
         backlog = estimate.backlog * decay + estimate.pending_offers
-        return (backlog + 1) * self.service_us(target) / target.slots
+        service_us = max(shortest_us, self.service_us(target))
+        return (backlog + 1) * service_us / target.slots
 
     def service_us(self, target):
         r"""Return the mean service time of a target, in microseconds."""
         return self.estimate(target.number).service_us or DEFAULT_SERVICE_US
 
+    def shortest_us(self, candidates):
+        r"""Return the shortest credible service time, in microseconds."""
+        return statistics.median_low(
+            self.service_us(item) for item in candidates) / MAXIMUM_SPEED
+
     def usable_targets(self, candidates, tried, now):
         r"""Return the untried targets; avoided ones only without others."""
         untried = [item for item in candidates if item.number not in tried]
@@ -147,10 +164,13 @@
         usable = self.usable_targets(candidates, tried, now)
         if len(usable) <= 1:
             return usable[0] if usable else None
+        shortest_us = self.shortest_us(candidates)
         weights = [
-            item.slots / self.service_us(item) for item in usable]
+            item.slots / max(shortest_us, self.service_us(item))
+            for item in usable]
         drawn = self.random.choices(usable, weights, k=2)
-        return min(drawn, key=lambda item: self.wait_us(item, now))
+        return min(drawn, key=lambda item: self.wait_us(
+            item, now, shortest_us))
 
 
 def make_placement(name, random):
