--- a/poplarstep/opaque_flows/tests/test_operator_reports.py
+++ b/poplarstep/opaque_flows/tests/test_operator_reports.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from poplarstep.configuration import model
 from poplarstep.core import timer
 from poplarstep.opaque_flows import agent
 from poplarstep.opaque_flows import balancer
@@ -138,3 +139,55 @@
         fixtures.FLOW, True, False, b'late', acknowledged=1050), now=22)
     assert fixtures.to_target(sent) == []
     assert len(fixtures.messages_of(sent, message.ReturnedPacket)) == 1
+
+
+def without_service(catalogue):
+    """Apply a configuration that no longer has the service."""
+    catalogue.apply([model.Change(
+        9, model.Removal('service', fixtures.SERVICE))])
+
+
+def data_centre_out(catalogue):
+    """Apply a configuration in which the data centre is out."""
+    catalogue.apply([model.Change(
+        9, model.DataCentre('maadi', 1, True, 9))])
+
+
+@pytest.mark.parametrize('has_heartbeat, heartbeats, change, reason', [
+    pytest.param(
+        False, [], None, message.ABSENT, id='the target is gone'),
+    pytest.param(
+        True, [fixtures.heartbeat(sequence=2, leaving=True)], None,
+        message.LEAVING, id='the target leaves'),
+    pytest.param(
+        True, [target.Departure(0, 'i-1')], None, message.ABSENT,
+        id='the target has left'),
+    pytest.param(
+        True, [fixtures.heartbeat(
+            identity='i-2', service='other', started_at=9000, sequence=1)],
+        None, message.WRONG_SERVICE, id='its address is used again'),
+    pytest.param(
+        True, [], without_service, message.WRONG_SERVICE,
+        id='the service was withdrawn'),
+    pytest.param(
+        True, [], data_centre_out, message.DATA_CENTRE_OUT,
+        id='the data centre is out'),
+])
+def test_restarted_nodes_do_not_use_what_has_left(
+        has_heartbeat, heartbeats, change, reason):
+    """Guards against a target that is used again after a restart.
+
+    The balancer has started with a configuration that is out of date, so it
+    offers the flow to the agent, which has started again too.
+    """
+    catalogue = fixtures.make_catalogue()
+    if change:
+        change(catalogue)
+    agent_state = fixtures.make_agent(
+        catalogue, has_heartbeat=has_heartbeat)
+    for item in heartbeats:
+        presence.PRESENCE.process(agent_state, item, 1)
+    sent = fixtures.send_to_agent(agent_state, fixtures.offer(), now=2)
+    assert fixtures.to_target(sent) == []
+    assert [item.reason for item in fixtures.messages_of(
+        sent, message.FlowRejected)] == [reason]
