--- a/benchmarks/flow_model.py
+++ b/benchmarks/flow_model.py
@@ -15,8 +15,8 @@
 import collections
 import heapq
 import itertools
-import math
 
+from benchmarks import flow_scenario
 from poplarstep.configuration import catalogue as catalogues
 from poplarstep.configuration import model
 from poplarstep.core import address
@@ -47,53 +47,6 @@
 FIRST_PORT = 1024
 
 
-class Scenario:
-    r"""Load and hosts of one run.
-
-    Parameters
-    ==========
-
-    service_factors : tuple of float
-        Factor of the service time for each target; above 1 is slower.
-    slots : int
-        Requests that a target runs at a time.
-    requests_per_s : float
-        Mean request rate.
-    service_ms : float
-        Mean service time of a request at factor 1.
-    objective_ms, limit_ms : int
-        Latency objective and time limit of a request.
-    caller_delay_ms : float
-        One-way delay between callers and the deployment.
-    balancers : int
-        Number of balancers.
-    queue_length : int
-        Requests that a target queues.
-    confirmed_at_ms : int
-        When the balancers, which have just started, get a configuration.
-    """
-
-    __slots__ = (
-        'service_factors', 'slots', 'requests_per_s', 'service_ms',
-        'objective_ms', 'limit_ms', 'caller_delay_ms', 'balancers',
-        'queue_length', 'confirmed_at_ms')
-
-    def __init__(
-            self, service_factors, slots, requests_per_s, service_ms,
-            objective_ms, limit_ms, caller_delay_ms, balancers=9,
-            queue_length=8, confirmed_at_ms=0):
-        self.service_factors = service_factors
-        self.slots = slots
-        self.requests_per_s = requests_per_s
-        self.service_ms = service_ms
-        self.objective_ms = objective_ms
-        self.limit_ms = limit_ms
-        self.caller_delay_ms = caller_delay_ms
-        self.balancers = balancers
-        self.queue_length = queue_length
-        self.confirmed_at_ms = confirmed_at_ms
-
-
 class Request:
     r"""One request of a caller, with its flow of the current attempt."""
 
@@ -125,36 +78,6 @@
         self.heartbeat_numbers = itertools.count(1)
 
 
-class Outcome:
-    r"""Results of the requests of one run.
-
-    ``latencies_ms`` holds the latencies of the answered requests, ``refused``
-    counts the requests whose last attempt was reset, ``lost`` those without
-    an answer, and ``hops`` the messages between nodes.
-    """
-
-    __slots__ = ('requests', 'latencies_ms', 'refused', 'lost', 'hops')
-
-    def __init__(self):
-        self.requests = 0
-        self.latencies_ms = []
-        self.refused = 0
-        self.lost = 0
-        self.hops = 0
-
-    def share_within(self, limit_ms):
-        r"""Return the share of all requests answered within a limit."""
-        answered = sum(item <= limit_ms for item in self.latencies_ms)
-        return answered / max(1, self.requests)
-
-    def quantile(self, share):
-        r"""Return a quantile of the latency in ms."""
-        ordered = sorted(self.latencies_ms)
-        if not ordered:
-            return math.nan
-        return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
 class Simulation:
     r"""Nodes, pending events and results of one run; times in ms."""
 
@@ -169,7 +92,7 @@
         self.order = itertools.count()
         self.now = 0.0
         self.end_ms = 0.0
-        self.outcome = Outcome()
+        self.outcome = flow_scenario.Outcome()
         self.request_by_flow = {}
         self.ports = itertools.count(FIRST_PORT)
         catalogue = make_catalogue(scenario)
--- a/benchmarks/flows.py
+++ b/benchmarks/flows.py
@@ -11,6 +11,7 @@
 import tabulate
 
 from benchmarks import flow_model
+from benchmarks import flow_scenario
 from poplarstep.opaque_flows import placement
 
 # Factors of the service time of each target, as on the deployments' hosts.
@@ -19,20 +20,20 @@
 BUSY_SERVICE_FACTORS = (0.7, 0.7, 1.7) * 5
 LARGE_SERVICE_FACTORS = (0.7, 0.7, 1.7) * 36
 SCENARIOS = {
-    'nile-hood': flow_model.Scenario(
+    'nile-hood': flow_scenario.Scenario(
         NILE_HOOD_SERVICE_FACTORS, 2, 375.0, 16.0, 100, 500, 3.0),
-    'nile-hood, a data centre out': flow_model.Scenario(
+    'nile-hood, a data centre out': flow_scenario.Scenario(
         NILE_HOOD_SERVICE_FACTORS[:4], 2, 375.0, 16.0, 100, 500, 3.0),
-    'nile-hood, overload': flow_model.Scenario(
+    'nile-hood, overload': flow_scenario.Scenario(
         NILE_HOOD_SERVICE_FACTORS[:3], 2, 500.0, 16.0, 100, 500, 3.0),
-    'gulfline': flow_model.Scenario(
+    'gulfline': flow_scenario.Scenario(
         GULFLINE_SERVICE_FACTORS, 3, 375.0, 23.5, 143, 2000, 1.0),
-    'gulfline, burst': flow_model.Scenario(
+    'gulfline, burst': flow_scenario.Scenario(
         GULFLINE_SERVICE_FACTORS, 3, 640.0, 23.5, 143, 2000, 1.0),
-    'busy, after a loss of all hosts': flow_model.Scenario(
+    'busy, after a loss of all hosts': flow_scenario.Scenario(
         BUSY_SERVICE_FACTORS, 1, 600.0, 16.0, 506, 1896, 1.0, balancers=10,
         confirmed_at_ms=1300),
-    'large, after a loss of all hosts': flow_model.Scenario(
+    'large, after a loss of all hosts': flow_scenario.Scenario(
         LARGE_SERVICE_FACTORS, 1, 596.0, 16.0, 506, 1896, 1.0, balancers=64,
         confirmed_at_ms=1300),
 }
