Do not reset flows whose copies went to another balancer

Cause: a balancer may hold the only packet that it got of a flow for more than a second, while it has no configuration or its targets restart. The caller's copies may reach another balancer and open the flow there; the reset at the end would then break an open flow, under planned work too.

A flow counts as possibly open if it waited for the configuration, or if no copy of its opening packet has come after 300 ms.

--- a/poplarstep/opaque_flows/balancer.py
+++ b/poplarstep/opaque_flows/balancer.py
@@ -144,7 +144,8 @@
         offers.record_overload(state, tracked, now)
         del state.tracked_by_flow[answer.flow]
         return offers.refuse(
-            state, answer.flow, tracked, answer.reason, tracked.may_be_open)
+            state, answer.flow, tracked, answer.reason,
+            offers.may_be_open(tracked, now))
     return offers.next_offer(state, answer.flow, tracked, now)
 
 
--- a/poplarstep/opaque_flows/balancer_state.py
+++ b/poplarstep/opaque_flows/balancer_state.py
@@ -1,5 +1,7 @@
 r"""State of a balancer of opaque flows."""
 
+import math
+
 from poplarstep.core import histogram
 from poplarstep.limits import budget
 from poplarstep.opaque_flows import candidates
@@ -37,6 +39,8 @@
     is_late : bool
         Whether the flow only gets slots that no other flow waits for; see
         ``poplarstep.opaque_flows.offers``.
+    copy_due_at : int or float
+        When a copy of the opening packet should have come, if none has.
     late_deadline : int
         When a late flow must have started.
     may_queue : bool
@@ -58,7 +62,7 @@
         'opening_deadline', 'last_used', 'lookup_count', 'may_queue',
         'reason_by_target', 'may_be_open', 'queue_deadline',
         'opening_received_at', 'round_count', 'looked_up_at',
-        'waiting_packets', 'is_late', 'late_deadline')
+        'waiting_packets', 'is_late', 'late_deadline', 'copy_due_at')
 
     def __init__(self, now):
         self.round_count = 0
@@ -66,6 +70,7 @@
         self.waiting_packets = ()
         self.is_late = False
         self.late_deadline = 0
+        self.copy_due_at = math.inf
         self.agent = None
         self.opening_datagram = b''
         self.tried_targets = ()
--- a/poplarstep/opaque_flows/offers.py
+++ b/poplarstep/opaque_flows/offers.py
@@ -20,6 +20,8 @@
 reasons may pass, a new round with more candidates starts a little later.
 """
 
+import math
+
 from poplarstep.core import effect
 from poplarstep.opaque_flows import balancer_state as states
 from poplarstep.opaque_flows import message
@@ -32,6 +34,9 @@
 # Callers retransmit an opening packet after 200 and 600 ms, and give up after
 # this time.
 CALLER_OPEN_TIMEOUT_MS = 1400
+# Callers retransmit an opening packet after 200 ms. If no copy has come by
+# this time, the network sends the flow to another balancer.
+COPY_TIMEOUT_MS = 300
 # Part of a route's latency objective that a new flow may spend in queues.
 # Without this bound an overloaded target would answer all requests late.
 QUEUE_FRACTION = 0.5
@@ -66,8 +71,9 @@
     r"""Offer a new flow, or send a copy to the agent that accepted it.
 
     Copies of an opening packet are dropped while the flow is being offered.
-    ``received_at`` is when the packet arrived, by default now; the time until
-    the caller gives up counts from it.
+    ``received_at`` is when a packet arrived that had to wait, by default now;
+    the time until the caller gives up counts from it. The caller may have
+    opened the flow through another balancer meanwhile.
     """
     route = state.catalogue.route_by_address.get(
         segments.service_of(segment.flow))
@@ -79,17 +85,20 @@
         tracked.last_used = now
         if tracked.offered_to is not None or (
                 segment.flow in state.retry_at_by_flow):
+            tracked.copy_due_at = math.inf
             return []
         if tracked.agent is not None and now < tracked.opening_deadline:
             return [message.ToNode(tracked.agent, _offer(
                 tracked, segment.flow, segment.datagram, now))]
     state.counters.openings += 1
     tracked = add_flow(state, segment.flow, now)
-    if received_at is None:
+    has_waited = received_at is not None
+    if not has_waited:
         received_at = now
     tracked.opening_datagram = segment.datagram
     tracked.opening_received_at = received_at
-    tracked.may_be_open = segment.repeated
+    tracked.may_be_open = segment.repeated or has_waited
+    tracked.copy_due_at = now + COPY_TIMEOUT_MS
     tracked.service = _choose_service(state, route)
     tracked.priority = route.priority
     tracked.opening_deadline = received_at + min(
@@ -134,7 +143,7 @@
         clear_offer(state, flow, tracked)
         del state.tracked_by_flow[flow]
         return refuse(
-            state, flow, tracked, 'no-target', tracked.may_be_open)
+            state, flow, tracked, 'no-target', may_be_open(tracked, now))
     tracked.offered_to = target
     tracked.offered_at = now
     tracked.offer_count += 1
@@ -212,17 +221,23 @@
     tracked.offered_to = None
 
 
-def refuse(state, flow, tracked, reason, may_be_open):
+def may_be_open(tracked, now):
+    r"""Return whether the flow may be open, here or at another balancer."""
+    return tracked.may_be_open or now >= tracked.copy_due_at
+
+
+def refuse(state, flow, tracked, reason, keep_open):
     r"""Log the refusal of a flow, and reset the flow if it can't be open.
 
     Without a reset, the caller of a flow that is not open times out.
+    ``keep_open`` is set for flows that may be open.
     """
     log_entry = effect.LogEvent('flow-refused', (
         ('flow', segments.describe(flow)), ('reason', reason),
         ('offers', tracked.offer_count if tracked else 0),
-        ('reset', not may_be_open),
+        ('reset', not keep_open),
         ('version', state.catalogue.version)))
-    if may_be_open:
+    if keep_open:
         return [log_entry]
     state.counters.reset_flows += 1
     return [message.ResetFlow(flow), log_entry]
