Report unreachable control hosts while waiting for a version

Cause: `poplarstep wait version N` read the rows of a failed query as nodes and ended with an IndexError, where exit code 4 is documented. It now tries until its time is over and returns the failure. The row of the table fails without the change.

benchmarks.dissemination runs again (the envelope has two more fields, and the simulated network's method has another name).

--- a/benchmarks/dissemination.py
+++ b/benchmarks/dissemination.py
@@ -54,7 +54,7 @@
     network = simulation.Network(
         seed,
         lambda source, item: envelopes.encode(link.Envelope(
-            'poplarstep', source, messages.encode(item))),
+            'poplarstep', source, messages.encode(item), 1, 0)),
         lambda data: messages.decode(
             envelopes.decode(data).unwrap().body).unwrap())
     cluster = simulation.Cluster(network)
@@ -186,7 +186,7 @@
     def __init__(self, network):
         self.network = network
         self.count_by_window = collections.Counter()
-        deliver = network.give
+        deliver = network.process_at
 
         def give(node, item):
             if type(item) is effect.Received:
@@ -194,7 +194,7 @@
                     node.name, network.now // simulation.TICK_PERIOD_MS] += 1
             deliver(node, item)
 
-        network.give = give
+        network.process_at = give
 
     def highest(self, kind):
         r"""Return the highest count of a window at a node of a kind."""
@@ -204,13 +204,13 @@
 
 
 class ReplaceableNetwork(simulation.Network):
-    r"""Network whose ``give`` method ``ArrivalCounter`` can replace."""
+    r"""Network whose ``process_at`` method ``ArrivalCounter`` can replace."""
 
-    __slots__ = ('give',)
+    __slots__ = ('process_at',)
 
     def __init__(self, seed):
         super().__init__(seed)
-        self.give = super().give
+        self.process_at = super().process_at
 
 
 def measure_restart(targets, returning, relays):
@@ -240,7 +240,7 @@
         agent = deployment.agents[-1]
         agent.subscribed.catalogue = deployment.relays[
             index % relays].catalogue
-        network.give(agent, message.Announced(
+        network.process_at(agent, message.Announced(
             announcement(index, incarnation=started + 2)))
     target_by_name = cluster.leader.catalogue.target_by_name
     waiting = {agent_name(index) for index in range(returning)}
--- a/poplarstep/programs/tests/test_tool.py
+++ b/poplarstep/programs/tests/test_tool.py
@@ -50,6 +50,7 @@
     ('show version', [SHOWN], 0, '4'),
     ('show version', [STALE], 3, '4'),
     ('show version', [None], 4, 'no control host'),
+    ('wait version 4 for 1s', [None], 4, 'no control host'),
     ('show flows', [], 0, '"rows": [["certs/1", "agent", "flows", 3]]'),
     ('show refusals', [], 0, 'agent_refused_not_run'),
     ('show burn', [], 2, 'needs --history'),
--- a/poplarstep/programs/tool.py
+++ b/poplarstep/programs/tool.py
@@ -173,13 +173,19 @@
         (statement.timeout_ms or 10_000) / 1000)
     while True:
         answer = _run_query(session, statements.ShowNodes())
+        is_late = time.monotonic() > deadline
+        if answer.code == answers.EXIT_UNREACHABLE:
+            if is_late:
+                return answer
+            time.sleep(RETRY_INTERVAL_S)
+            continue
         outdated_rows = [
             row for row in answer.rows
             if row[VERSION_COLUMN] < statement.version]
         if answer.code == 0 and not outdated_rows:
             return answers.Answer(0, ('version', 'nodes'), [
                 (statement.version, len(answer.rows))], answer.value)
-        if time.monotonic() > deadline:
+        if is_late:
             return answers.Answer(
                 answers.EXIT_UNKNOWN, answer.columns, outdated_rows,
                 answer.value)
