Report what a learner lacks and how large the log is

The leader now reports once a second what each learner lacks, and at the promotion what was sent.

No behaviour changes.

--- a/poplarstep/consensus/log.py
+++ b/poplarstep/consensus/log.py
@@ -133,6 +133,11 @@
             chosen.append(entry)
         return tuple(chosen)
 
+    def payload_bytes(self, first):
+        r"""Return the payload bytes of the held entries from ``first``."""
+        start = max(first - self.base_index - 1, 0)
+        return sum(len(entry.payload) for entry in self.entries[start:])
+
     def append(self, entries):
         r"""Append entries; the first follows the last one held."""
         for entry in entries:
--- a/poplarstep/consensus/membership.py
+++ b/poplarstep/consensus/membership.py
@@ -15,6 +15,7 @@
 
 from poplarstep.consensus import handlers
 from poplarstep.consensus import message
+from poplarstep.consensus import progress as progresses
 from poplarstep.consensus import replication
 from poplarstep.consensus import state as states
 from poplarstep.core import registry
@@ -135,6 +136,8 @@
         members = tuple(
             item.replace(voter=True) if item is member else item
             for item in state.log.members)
-        return replication.append(state, now, [
+        return [
+            progresses.promotion_report(member, progress, now),
+        ] + replication.append(state, now, [
             (message.MEMBERSHIP, b'', members, 0)])
     return []
--- a/poplarstep/consensus/replication.py
+++ b/poplarstep/consensus/replication.py
@@ -3,6 +3,7 @@
 from poplarstep.consensus import handlers
 from poplarstep.consensus import message
 from poplarstep.consensus import peer
+from poplarstep.consensus import progress as progresses
 from poplarstep.consensus import roles
 from poplarstep.consensus import snapshot
 from poplarstep.consensus import state as states
@@ -27,7 +28,8 @@
     state.stored_index = 0
     state.key_by_index = {}
     state.progress_by_identity = {
-        member.identity: states.Progress(state.log.last_index + 1)
+        member.identity: progresses.Progress(
+            state.log.last_index + 1, now)
         for member in states.other_members(state)}
     effects = states.set_leader(state, state.identity)
     state.term_start_index = state.log.last_index + 1
@@ -113,24 +115,24 @@
     effects = extend_lease(state, now)
     for member in states.other_members(state):
         effects.extend(send_to(state, member, now))
-    return effects
+    return effects + progresses.report_learners(state, now)
 
 
 def send_to_idle(state, now):
     r"""Send to the members that have no data in flight."""
     effects = []
     for member in states.other_members(state):
-        progress = progress_of(state, member.identity)
+        progress = progress_of(state, member.identity, now)
         if not progress.data_in_flight:
             effects.extend(send_to(state, member, now))
     return effects
 
 
-def progress_of(state, identity):
+def progress_of(state, identity, now):
     r"""Return the progress of a member; create it for a new member."""
     progress = state.progress_by_identity.get(identity)
     if progress is None:
-        progress = states.Progress(state.log.last_index + 1)
+        progress = progresses.Progress(state.log.last_index + 1, now)
         state.progress_by_identity[identity] = progress
     return progress
 
@@ -141,7 +143,7 @@
     While the reply to earlier data is missing, an empty message is sent, so
     that a host that is down or slow does not get the same data repeatedly.
     """
-    progress = progress_of(state, member.identity)
+    progress = progress_of(state, member.identity, now)
     progress.pending_send_time = now
     if progress.next_index <= state.log.base_index or (
             progress.snapshot_index >= 0):
@@ -151,11 +153,21 @@
     if not progress.data_in_flight:
         entries = state.log.batch(progress.next_index)
         progress.data_in_flight = bool(entries)
+    if entries:
+        count_entries(state, progress, entries)
     return states.send(member.address, peer.AppendEntries(
         state.identity, member.identity, state.group, state.term, previous,
         state.log.term_at(previous), entries, state.commit_index, now))
 
 
+def count_entries(state, progress, entries):
+    r"""Count entries that are sent to a member."""
+    size = sum(len(entry.payload) for entry in entries)
+    progress.count_sent(size)
+    state.counters.entries_sent += len(entries)
+    state.counters.entry_bytes_sent += size
+
+
 @handlers.PEER_MESSAGES.handles(peer.AppendReply)
 def handle_append_reply(state, received, now):
     r"""Update the progress of a member after ``AppendEntries``."""
--- a/poplarstep/consensus/snapshot.py
+++ b/poplarstep/consensus/snapshot.py
@@ -50,6 +50,9 @@
         chunk = snapshot.state[
             progress.snapshot_offset:
             progress.snapshot_offset + peer.MAXIMUM_CHUNK_BYTES]
+    if chunk:
+        progress.count_sent(len(chunk))
+        state.counters.snapshot_bytes_sent += len(chunk)
     progress.data_in_flight = True
     return states.send(member.address, peer.InstallSnapshot(
         state.identity, member.identity, state.group, state.term,
--- a/poplarstep/consensus/state.py
+++ b/poplarstep/consensus/state.py
@@ -82,46 +82,6 @@
         self.learner_catch_up = learner_catch_up
 
 
-class Progress:
-    r"""Replication progress of one other member, as the leader sees it.
-
-    Parameters
-    ==========
-
-    match_index : int
-        Last index up to which the member's synced log equals the leader's.
-    next_index : int
-        Index of the next entry to send.
-    acknowledged_send_time : int or None
-        Send time in ms of the latest message that the member has replied
-        to.
-    pending_send_time : int or None
-        Send time in ms of the latest message, None once its reply has
-        arrived. Replies to earlier messages cause no further message;
-        otherwise each duplicated reply would cause one.
-    data_in_flight : bool
-        Entries or a snapshot chunk were sent and the reply is missing.
-    snapshot_offset : int
-        Offset in bytes of the next snapshot chunk to send.
-    snapshot_index : int
-        Index of the snapshot that is being sent, or -1.
-    """
-
-    __slots__ = (
-        'match_index', 'next_index', 'acknowledged_send_time',
-        'pending_send_time', 'data_in_flight', 'snapshot_offset',
-        'snapshot_index')
-
-    def __init__(self, next_index):
-        self.match_index = 0
-        self.next_index = next_index
-        self.acknowledged_send_time = None
-        self.pending_send_time = None
-        self.data_in_flight = False
-        self.snapshot_offset = 0
-        self.snapshot_index = -1
-
-
 class DiscoveredHost(record.Record):
     r"""Host that sent ``Hello`` or ``HelloReply``; ``last_seen`` in ms."""
 
@@ -144,12 +104,14 @@
     r"""Counts for metrics, read at scrape time.
 
     ``foreign_messages`` counts messages of another group or for another
-    disk identity.
+    disk identity. The bytes are those of payloads and of snapshot chunks,
+    resent ones included.
     """
 
     __slots__ = (
         'elections', 'terms_led', 'foreign_messages', 'storage_failures',
-        'snapshots_sent', 'snapshots_installed')
+        'snapshots_sent', 'snapshots_installed', 'entries_sent',
+        'entry_bytes_sent', 'snapshot_bytes_sent')
 
     def __init__(self):
         for name in self.__slots__:
--- a/poplarstep/control/tests/test_host_changes.py
+++ b/poplarstep/control/tests/test_host_changes.py
@@ -7,6 +7,7 @@
 from poplarstep.configuration import command
 from poplarstep.configuration import machine as machines
 from poplarstep.consensus import message as consensus
+from poplarstep.consensus import progress as progresses
 from poplarstep.consensus import replica as replicas
 from poplarstep.consensus import state as states
 from poplarstep.control import hosts
@@ -46,7 +47,7 @@
     replica = replicas.make_replica(
         LEADER, ADDRESS, (), False, random.Random(1), 0,
         snapshot=consensus.Snapshot('group', 0, 0, members, b''))
-    progress = states.Progress(1)
+    progress = progresses.Progress(1, 0)
     if answered_ago_ms is not None:
         progress.acknowledged_send_time = NOW - answered_ago_ms
     replica.progress_by_identity[MEMBER] = progress
--- a/poplarstep/edge/storage.py
+++ b/poplarstep/edge/storage.py
@@ -140,6 +140,11 @@
             return result.Failure(reason)
         return result.Success(None)
 
+    def folder_bytes(self):
+        r"""Return the size in bytes of the files of the folder."""
+        with os.scandir(self.folder) as files:
+            return sum(item.stat().st_size for item in files)
+
     def close(self):
         r"""Close the files and release the lock."""
         if self.descriptor is not None:
--- a/poplarstep/programs/control.py
+++ b/poplarstep/programs/control.py
@@ -86,7 +86,7 @@
         ('control_nodes', {}, len(reports.status_by_node)),
         ('control_gathered_refused', {}, reports.refused),
         ('control_leads', {}, int(replica.role == consensus_states.LEADER)),
-    ])
+    ] + log_values(replica, storage))
     node.status = lambda: _status(replica, machine)
     node.ready = lambda: leader_inbox(replica, subscriber_state) is not None
     node.closers.append(storage.close)
@@ -116,6 +116,10 @@
         r"""Return a failure; the host may not vote or acknowledge entries."""
         return result.Failure('this host has no disk')
 
+    def folder_bytes(self):
+        r"""Return 0; there is no folder."""
+        return 0
+
     def close(self):
         r"""Do nothing; there is no open file."""
 
@@ -244,6 +248,18 @@
     return rows
 
 
+def log_values(replica, storage):
+    r"""Return the sizes of the log and of the data folder for /metrics."""
+    log = replica.log
+    return [
+        ('control_log_entries', {}, len(log.entries)),
+        ('control_log_bytes', {}, log.payload_bytes(log.base_index + 1)),
+        ('control_snapshot_bytes', {}, len(
+            log.snapshot.state if log.snapshot else b'')),
+        ('control_data_folder_bytes', {}, storage.folder_bytes()),
+    ]
+
+
 def make_performers(storage, links, pending, terminate):
     r"""Return the performers of a control host, by type of effect.
 
