Compact the replicated log by its bytes

No control host answered a read, a change or an evacuation any more, for good.

Cause: the log was compacted after 2,000 entries of any size. An entry holds a whole configuration, 82 kB, so the log had 49 MB. The host that came back had to receive and apply all of it, 22 ms an entry, and was not a voter yet when the second disk was lost: two voters, one disk.

Ruled out: the membership (added at once), the link (12 ms of 185 ms a message are encoding and decoding), the removal of the lost voter before its successor holds the log (with three voters both others are needed either way).

What a host without a disk receives follows from the state, not from the history. The same paths: the memory of a host held 1,024 entries of any size, a data folder of 64 MB was full after some 660 changes, a restart applied the whole history.

--- a/poplarstep/consensus/log.py
+++ b/poplarstep/consensus/log.py
@@ -4,8 +4,9 @@
 ===========
 
 Some entries that the snapshot covers are kept, so that a follower that is
-slightly behind needs no snapshot. When storing a batch of effects fails,
-``roll_back`` returns to the savepoint that was set before the batch.
+slightly behind needs no snapshot. Their number and their bytes are bounded: a
+follower that lacks more gets the snapshot. When storing a batch of effects
+fails, ``roll_back`` returns to the savepoint that was set before the batch.
 """
 
 from poplarstep.consensus import message
@@ -13,6 +14,10 @@
 # Entries kept although the snapshot covers them. They suffice for a follower
 # that was down for about a minute at 16 commands per second.
 KEPT_ENTRIES = 1024
+# Payload bytes of these entries. A larger snapshot raises this bound to its
+# own size, so that the log still holds what follows a snapshot when its
+# transfer ends.
+KEPT_BYTES = 1024 * 1024
 # Bounds on the entries of one ``AppendEntries``.
 MAXIMUM_BATCH_ENTRIES = 256
 MAXIMUM_BATCH_BYTES = 1024 * 1024
@@ -153,7 +158,7 @@
 
     def compact(self, snapshot):
         r"""Take over a snapshot of this host's state machine."""
-        base = max(self.base_index, snapshot.index - self.kept_entries)
+        base = self._base_to_keep(snapshot)
         self.base_term = self.term_at(base)
         self.entries = self.entries[base - self.base_index:]
         self.base_index = base
@@ -189,6 +194,18 @@
         del self.entries[max(self.unchanged_index - self.base_index, 0):]
         self._drop_memberships_after(self.unchanged_index)
 
+    def _base_to_keep(self, snapshot):
+        r"""Return the index before the first entry to keep."""
+        lowest = max(self.base_index, snapshot.index - self.kept_entries)
+        space = max(KEPT_BYTES, len(snapshot.state))
+        index = snapshot.index
+        while index > lowest:
+            space -= len(self.entries[index - self.base_index - 1].payload)
+            if space < 0:
+                break
+            index -= 1
+        return index
+
     def _replace_snapshot(self, snapshot):
         self.snapshot = snapshot
         self.memberships = ((snapshot.index, snapshot.members),) + tuple(
--- a/poplarstep/control/application.py
+++ b/poplarstep/control/application.py
@@ -6,6 +6,12 @@
 This stage follows the replica stage in the pipeline. It applies every
 committed command to the state machine exactly once and in order. An operator
 who waits for the command on this host gets the outcome.
+
+It also decides when a snapshot replaces the log (Ongaro and Ousterhout, "In
+Search of an Understandable Consensus Algorithm", 2014, section 7). The bound
+is in bytes: what a host without a disk receives, what a restart reads and what
+the disk holds then follow from the size of the state, not from the number and
+size of all changes so far.
 """
 
 from poplarstep.configuration import command
@@ -18,8 +24,13 @@
 from poplarstep.core import stage
 from poplarstep.dissemination import message as dissemination
 
-# The log is compacted by a snapshot after this many applied entries.
+# The log is compacted by a snapshot after this many applied entries, or when
+# their payloads reach SNAPSHOT_LOG_BYTES, or twice the size of the latest
+# snapshot if that is more. The factor bounds the cost of snapshots to half of
+# that of the log.
 SNAPSHOT_ENTRIES = 2000
+SNAPSHOT_LOG_BYTES = 1024 * 1024
+SNAPSHOT_LOG_FACTOR = 2
 
 APPLY = stage.Stage('apply')
 
@@ -36,11 +47,20 @@
         Decodes the bytes of an entry; returns ``Success(Command)``.
     encode_snapshot, decode_snapshot : callable
         Encode a ``MachineSnapshot`` to bytes; decode it to a ``Success``.
+
+    Attributes
+    ==========
+
+    snapshot_index, snapshot_bytes : int
+        Index and size of the latest snapshot.
+    log_bytes : int
+        Payload bytes of the entries applied since that snapshot.
     """
 
     __slots__ = (
         'machine', 'decode', 'encode_snapshot', 'decode_snapshot',
-        'applied_index', 'snapshot_index', 'undecodable')
+        'applied_index', 'snapshot_index', 'snapshot_bytes', 'log_bytes',
+        'undecodable')
 
     def __init__(self, machine, decode, encode_snapshot, decode_snapshot):
         self.machine = machine
@@ -49,6 +69,8 @@
         self.decode_snapshot = decode_snapshot
         self.applied_index = 0
         self.snapshot_index = 0
+        self.snapshot_bytes = 0
+        self.log_bytes = 0
         self.undecodable = 0
 
 
@@ -66,14 +88,34 @@
         return []
     state.applied_index = event.index
     messages = _apply(state, event)
-    if event.index - state.snapshot_index >= SNAPSHOT_ENTRIES:
-        state.snapshot_index = event.index
-        messages.append(effect.Requeue(consensus.SnapshotTaken(
-            event.index,
-            state.encode_snapshot(machines.take_snapshot(state.machine)))))
+    state.log_bytes += len(event.payload)
+    if is_snapshot_due(state):
+        messages.append(effect.Requeue(take_snapshot(state)))
     return messages
 
 
+def is_snapshot_due(state):
+    r"""Return whether a snapshot is to replace the applied entries."""
+    bound = max(
+        SNAPSHOT_LOG_BYTES, SNAPSHOT_LOG_FACTOR * state.snapshot_bytes)
+    return (
+        state.applied_index - state.snapshot_index >= SNAPSHOT_ENTRIES
+        or state.log_bytes >= bound)
+
+
+def take_snapshot(state):
+    r"""Return the ``SnapshotTaken`` of the present state."""
+    encoded = state.encode_snapshot(machines.take_snapshot(state.machine))
+    _record_snapshot(state, state.applied_index, encoded)
+    return consensus.SnapshotTaken(state.applied_index, encoded)
+
+
+def _record_snapshot(state, index, encoded):
+    state.snapshot_index = index
+    state.snapshot_bytes = len(encoded)
+    state.log_bytes = 0
+
+
 def _apply(state, event):
     before = state.machine.catalogue.version
     entry = state.decode(event.payload).unwrap()
@@ -101,7 +143,7 @@
     snapshot = state.decode_snapshot(event.state).unwrap()
     machines.restore_snapshot(state.machine, snapshot)
     state.applied_index = event.index
-    state.snapshot_index = event.index
+    _record_snapshot(state, event.index, event.state)
     return [dissemination.CatalogueChanged(state.machine.catalogue.version)]
 
 
--- a/poplarstep/edge/storage.py
+++ b/poplarstep/edge/storage.py
@@ -27,7 +27,9 @@
 from poplarstep.edge import codec
 from poplarstep.edge import frame
 
-SEGMENT_BYTES = 16 * 1024 * 1024
+# A segment is removed once a snapshot covers all of its entries, so the folder
+# holds up to one segment more than the log after the snapshot.
+SEGMENT_BYTES = 1024 * 1024
 SEGMENT_PREFIX = 'log-'
 # Errors of a write that stored nothing and may be repeated.
 DISK_FULL = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
