Refuse deeply nested JSON bodies with an error

An operator of a similar system reported that one odd entry among those of the targets, very deeply nested, ended the machines that read the list. Here a heartbeat or a whole configuration with an unknown field that is nested 5,000 deep raised RecursionError past the parser and past the HTTP handler: the connection got status 500 and the process wrote a traceback for each copy. The process did not end and nothing of the body was kept.

All bodies are now decoded by one function that refuses what it can't read, in place of seven calls with three sets of exceptions, and the HTTP interface answers a RecursionError of a handler with 400.

Tests seen failing without the change: test_nested_heartbeat_is_rejected and test_nested_configuration_is_rejected (two bodies each), and test_a_handler_that_raises_answers_with_an_error[RecursionError]. The product's own bodies refuse unknown fields before they recurse; their rows passed before.

--- a/poplarstep/edge/web.py
+++ b/poplarstep/edge/web.py
@@ -128,7 +128,7 @@
     body = environ['wsgi.input'].read(int(length))
     try:
         return handler(body)
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         logging.warning('http-request-failed %s %s', logs.pair(
             'path', environ['PATH_INFO']), logs.pair('error', error))
         return json_reply({'error': str(error)}, 400)
--- a/poplarstep/programs/agent.py
+++ b/poplarstep/programs/agent.py
@@ -9,6 +9,7 @@
 from poplarstep.edge import clock
 from poplarstep.edge import codec
 from poplarstep.edge import datagrams
+from poplarstep.edge import json_body
 from poplarstep.edge import proxy_header
 from poplarstep.edge import target_client
 from poplarstep.edge import web
@@ -117,10 +118,10 @@
 
 def parse_announcement(body):
     r"""Return ``Success(TargetState)`` or ``Failure(message)``."""
-    try:
-        announced = msgspec.json.decode(body, type=AnnounceBody)
-    except msgspec.DecodeError as error:
-        return result.Failure('announcement: %s' % error)
+    decoded = json_body.decode(body, AnnounceBody, 'announcement')
+    if isinstance(decoded, result.Failure):
+        return decoded
+    announced = decoded.unwrap()
     for name in ('slots', 'connections', 'cold_limit'):
         if not 1 <= getattr(announced, name) <= 1_000_000:
             return result.Failure(
--- a/poplarstep/programs/control.py
+++ b/poplarstep/programs/control.py
@@ -21,6 +21,7 @@
 from poplarstep.dissemination import reporting
 from poplarstep.dissemination import subscriber
 from poplarstep.edge import clock
+from poplarstep.edge import json_body
 from poplarstep.edge import storage as storages
 from poplarstep.edge import web
 from poplarstep.edge import wire
@@ -307,7 +308,10 @@
 def _register_operator_routes(node, pending):
     @node.routes.route('POST', '/command')
     def run_command(body):
-        request = msgspec.json.decode(body, type=CommandBody)
+        decoded = json_body.decode(body, CommandBody, 'command')
+        if isinstance(decoded, result.Failure):
+            return web.json_reply({'error': decoded.failure()}, 400)
+        request = decoded.unwrap()
         parsed = _parse(request.text)
         if isinstance(parsed, result.Failure):
             return web.json_reply({'error': parsed.failure()}, 400)
@@ -329,7 +333,10 @@
 
     @node.routes.route('POST', '/query')
     def run_query(body):
-        request = msgspec.json.decode(body, type=QueryBody)
+        decoded = json_body.decode(body, QueryBody, 'query')
+        if isinstance(decoded, result.Failure):
+            return web.json_reply({'error': decoded.failure()}, 400)
+        request = decoded.unwrap()
         parsed = _parse(request.text)
         if isinstance(parsed, result.Failure):
             return web.json_reply({'error': parsed.failure()}, 400)
--- a/poplarstep/programs/operator_interface.py
+++ b/poplarstep/programs/operator_interface.py
@@ -18,6 +18,7 @@
 from poplarstep.configuration import replacement
 from poplarstep.control import message
 from poplarstep.core import address
+from poplarstep.edge import json_body
 from poplarstep.edge import web
 
 # A command without an outcome after this time is answered with the status
@@ -71,10 +72,10 @@
 
 def parse_configuration(body):
     r"""Return ``Success(ReplaceConfiguration)`` or ``Failure(message)``."""
-    try:
-        configuration = msgspec.json.decode(body, type=ConfigurationBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return result.Failure('configuration: %s' % error)
+    decoded = json_body.decode(body, ConfigurationBody, 'configuration')
+    if isinstance(decoded, result.Failure):
+        return decoded
+    configuration = decoded.unwrap()
     routes = []
     for route in configuration.routes:
         route_address = address.parse(route.address)
--- a/poplarstep/programs/target_interface.py
+++ b/poplarstep/programs/target_interface.py
@@ -14,6 +14,7 @@
 import msgspec
 from returns import result
 
+from poplarstep.edge import json_body
 from poplarstep.edge import web
 from poplarstep.opaque_flows import target
 
@@ -47,20 +48,13 @@
 
 def parse_heartbeat(body):
     r"""Return ``Success(Heartbeat)`` with key 0, or ``Failure(message)``."""
-    decoded = _decode(body, HeartbeatBody)
+    decoded = json_body.decode(body, HeartbeatBody, 'heartbeat')
     return decoded.map(lambda heartbeat: target.Heartbeat(
         0, heartbeat.target, heartbeat.service, heartbeat.started_at,
         heartbeat.sequence, heartbeat.slots, heartbeat.leaving,
         heartbeat.cold_ms))
 
 
-def _decode(body, body_type):
-    try:
-        return result.Success(msgspec.json.decode(body, type=body_type))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return result.Failure(str(error))
-
-
 def register(node, pending):
     r"""Register the handlers of the target's requests on an agent.
 
@@ -76,7 +70,7 @@
 
     @node.routes.route('POST', DEPARTURE_PATH)
     def departure(body):
-        parsed = _decode(body, DepartureBody)
+        parsed = json_body.decode(body, DepartureBody, 'departure')
         if isinstance(parsed, result.Failure):
             return web.json_reply({'error': parsed.failure()}, 400)
         return acknowledge(
