Refuse heartbeats that no target can have sent

An operator of a similar system reported that one odd entry of another writer, with a number too large or a port out of range, made the machines stop following the list of targets. Here a heartbeat with a start time or a sequence number of 2**53 was accepted, and every later heartbeat of the real target was older by comparison: the agent took it for silent after target-fresh and sent it no more flows, until the next start of the agent.

The clock is read when the heartbeat arrives, so an agent that started before its host knew the time refuses nothing.

--- a/poplarstep/edge/clock.py
+++ b/poplarstep/edge/clock.py
@@ -6,6 +6,11 @@
 NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 
+def unix_ms():
+    r"""Return the Unix time in ms, as the clock of this host has it now."""
+    return time.time_ns() // NANOSECONDS_PER_MILLISECOND
+
+
 def now_ms():
     r"""Return the milliseconds since boot, including suspension.
 
--- a/poplarstep/edge/web.py
+++ b/poplarstep/edge/web.py
@@ -38,6 +38,19 @@
         self.headers = headers
 
 
+class Counters:
+    r"""Counts of HTTP requests; ``refused`` ones got a status from 400 to 499.
+
+    The slots are metric names.
+    """
+
+    __slots__ = ('requests', 'refused')
+
+    def __init__(self):
+        self.requests = 0
+        self.refused = 0
+
+
 class Routes:
     r"""Registry of handlers by method and path.
 
@@ -45,9 +58,10 @@
     of a path prefix takes the rest of the path as its first argument.
     """
 
-    __slots__ = ('handler_by_route', 'handler_by_prefix')
+    __slots__ = ('handler_by_route', 'handler_by_prefix', 'counters')
 
     def __init__(self):
+        self.counters = Counters()
         self.handler_by_route = {}
         self.handler_by_prefix = {}
 
@@ -82,6 +96,9 @@
     def __call__(self, environ, start_response):
         handler = self.find(environ['REQUEST_METHOD'], environ['PATH_INFO'])
         reply = _call_handler(handler, environ)
+        self.counters.requests += 1
+        if 400 <= reply.code < 500:
+            self.counters.refused += 1
         start_response(
             STATUS_BY_CODE[reply.code],
             [('Content-Type', reply.content_type),
--- a/poplarstep/opaque_flows/target.py
+++ b/poplarstep/opaque_flows/target.py
@@ -20,6 +20,9 @@
 # ready. So no earlier run of the agent has served a target that started less
 # than this before the agent did.
 AGENT_STARTUP_MS = 400
+# A target reads the clock of its agent's host. A start time that is this far
+# in the future was not read from it, even if the clock was set back meanwhile.
+MAXIMUM_CLOCK_LEAD_MS = 24 * 3600 * 1000
 
 
 class Heartbeat(record.Record):
@@ -102,6 +105,39 @@
         self.no_earlier_agent_run = no_earlier_agent_run
 
 
+def find_fault(heartbeat, unix_ms):
+    r"""Return why a heartbeat can't come from a target, or an empty string.
+
+    A heartbeat with a start time or a sequence number that is too high would
+    make all later heartbeats of the target on this host look outdated.
+
+    Parameters
+    ==========
+
+    unix_ms : int
+        Unix time in ms at which the heartbeat arrived.
+
+    Examples
+    ========
+
+    >>> beat = Heartbeat(0, 'a', 'dispatch', 5000, 3, 1, False, 0)
+    >>> find_fault(beat, 9000)
+    ''
+    >>> find_fault(beat.replace(started_at=2**53), 9000)
+    'start time 9007199254740992 is in the future'
+    >>> find_fault(beat.replace(sequence=2**53), 9000)
+    'sequence 9007199254740992 is higher than the ms since the start'
+
+    """
+    latest = unix_ms + MAXIMUM_CLOCK_LEAD_MS
+    if heartbeat.started_at > latest:
+        return 'start time %d is in the future' % heartbeat.started_at
+    if heartbeat.sequence > latest - heartbeat.started_at:
+        return 'sequence %d is higher than the ms since the start' % (
+            heartbeat.sequence)
+    return ''
+
+
 def is_same_instance(known, heartbeat):
     r"""Return whether a heartbeat comes from the known instance."""
     return (
--- a/poplarstep/programs/node.py
+++ b/poplarstep/programs/node.py
@@ -68,6 +68,7 @@
         self.exporter = metrics.Exporter({
             'node': settings['node'], 'role': settings['role'],
             'data_centre': settings['data-centre']})
+        self.exporter.add_counters('http', self.routes.counters)
         self.closers = []
         self.greenlets = []
         self.failed = gevent_event.Event()
--- a/poplarstep/programs/target_interface.py
+++ b/poplarstep/programs/target_interface.py
@@ -14,6 +14,7 @@
 import msgspec
 from returns import result
 
+from poplarstep.edge import clock
 from poplarstep.edge import json_body
 from poplarstep.edge import web
 from poplarstep.opaque_flows import target
@@ -62,11 +63,8 @@
     """
     @node.routes.route('POST', HEARTBEAT_PATH)
     def heartbeat(body):
-        parsed = parse_heartbeat(body)
-        if isinstance(parsed, result.Failure):
-            return web.json_reply({'error': parsed.failure()}, 400)
-        return acknowledge(
-            node, pending, lambda key: parsed.unwrap().replace(key=key))
+        return accept_heartbeat(
+            node, pending, parse_heartbeat(body), ANSWER_TIMEOUT_MS)
 
     @node.routes.route('POST', DEPARTURE_PATH)
     def departure(body):
@@ -78,6 +76,24 @@
             lambda key: target.Departure(key, parsed.unwrap().target))
 
 
+def accept_heartbeat(node, pending, parsed, timeout_ms):
+    r"""Refuse a heartbeat that no target can have sent, or acknowledge it."""
+    checked = parsed.bind(check_heartbeat)
+    if isinstance(checked, result.Failure):
+        return web.json_reply({'error': checked.failure()}, 400)
+    return acknowledge(
+        node, pending, lambda key: checked.unwrap().replace(key=key),
+        timeout_ms)
+
+
+def check_heartbeat(heartbeat):
+    r"""Return ``Success(Heartbeat)`` or ``Failure(message)``."""
+    fault = target.find_fault(heartbeat, clock.unix_ms())
+    if fault:
+        return result.Failure('heartbeat: %s' % fault)
+    return result.Success(heartbeat)
+
+
 def acknowledge(node, pending, make_message, timeout_ms=ANSWER_TIMEOUT_MS):
     r"""Post a heartbeat or departure; reply once the agent applies it."""
     if pending.ask(node.task, make_message, timeout_ms) is None:
--- a/poplarstep/programs/tests/test_odd_bodies.py
+++ b/poplarstep/programs/tests/test_odd_bodies.py
@@ -81,3 +81,40 @@
         lambda status, headers: statuses.append(status))
     assert statuses == ['400 Bad Request']
     assert b'odd' in content[0]
+
+
+@pytest.mark.parametrize('changes, reason', [
+    ({}, None),
+    ({'started_at': 2**53}, 'is in the future'),
+    ({'sequence': 2**53}, 'higher than the ms since the start'),
+    ({'started_at': 2**53, 'sequence': 2**53}, 'is in the future'),
+])
+def test_an_odd_heartbeat_does_not_outdate_the_target(changes, reason):
+    """Guards against an agent that follows its target no more.
+
+    A start time or a sequence number far above those of the target made all
+    later heartbeats of the target look outdated.
+    """
+    parsed = target_interface.parse_heartbeat(
+        json.dumps({**HEARTBEAT, **changes}).encode())
+    checked = parsed.bind(target_interface.check_heartbeat)
+    if reason is None:
+        assert checked.unwrap().sequence == HEARTBEAT['sequence']
+    else:
+        assert reason in checked.failure()
+
+
+@pytest.mark.parametrize('code, refused', [
+    (200, 0), (400, 1), (404, 1), (413, 1), (503, 0)])
+def test_refused_requests_are_counted(code, refused):
+    """Guards against odd bodies that no metric shows."""
+    routes = web.Routes()
+
+    @routes.route('POST', '/odd')
+    def handler(body):
+        return web.json_reply({}, code)
+    routes(
+        {'REQUEST_METHOD': 'POST', 'PATH_INFO': '/odd',
+         'wsgi.input': io.BytesIO(b'')}, lambda status, headers: None)
+    assert routes.counters.requests == 1
+    assert routes.counters.refused == refused
