Bound proposals in flight and link outboxes by their bytes

A leader without a quorum accepted 4,096 proposals of up to 1 MB, in memory and in its log, which may fill the disk before anything can be compacted. An outbox held 256 messages of up to 16 MB for a peer that does not read.

Uncommitted payloads are bounded to 16 MB (the proposal is refused as overloaded and was not run), an outbox to two messages of the greatest size (the new message is dropped and counted, as when it is full). Checked and left: the task inbox holds 16,384 messages, but its readers take turns with the task, and sessions, tombstones and drained names hold short texts.

--- a/poplarstep/consensus/replication.py
+++ b/poplarstep/consensus/replication.py
@@ -13,9 +13,11 @@
 # Payloads of one batch. A batch is written as one record of the log file,
 # and a record is limited to 16 MiB.
 MAXIMUM_WRITE_BYTES = 4 * 1024 * 1024
-# Uncommitted proposals. Bounds the memory of a leader that cannot commit; at
-# 2,500 changes a day fewer than 10 are in flight.
+# Uncommitted proposals and their payloads. They bound the memory and the log
+# of a leader that cannot commit; at 2,500 changes a day fewer than 10 are in
+# flight.
 MAXIMUM_PROPOSALS_IN_FLIGHT = 4096
+MAXIMUM_BYTES_IN_FLIGHT = 16 * 1024 * 1024
 
 
 def become_leader(state, now):
@@ -70,9 +72,11 @@
     effects = []
     items = []
     size = 0
+    in_flight = state.log.payload_bytes(state.commit_index + 1)
     for proposal in batch.proposals:
         size += len(proposal.payload)
-        reason = proposal_refusal_reason(state, proposal, len(items), size)
+        reason = proposal_refusal_reason(
+            state, proposal, len(items), size, in_flight)
         if reason:
             effects.append(message.ProposalRefused(
                 proposal.key, reason, states.leader_name(state)))
@@ -82,7 +86,7 @@
     return effects + (append(state, now, items) if items else [])
 
 
-def proposal_refusal_reason(state, proposal, accepted, size):
+def proposal_refusal_reason(state, proposal, accepted, size, in_flight):
     r"""Return the reason to refuse a command, or an empty text.
 
     Parameters
@@ -92,6 +96,8 @@
         Commands of the same batch that have been accepted.
     size : int
         Payload bytes of the batch up to and including this command.
+    in_flight : int
+        Payload bytes of the uncommitted entries before the batch.
     """
     if not state.storage_ready:
         return 'storage-failed'
@@ -99,8 +105,10 @@
         return 'not-leader'
     if len(proposal.payload) > MAXIMUM_PAYLOAD_BYTES:
         return 'too-large'
-    if len(state.key_by_index) + accepted >= MAXIMUM_PROPOSALS_IN_FLIGHT or (
-            size > MAXIMUM_WRITE_BYTES):
+    if len(state.key_by_index) + accepted >= MAXIMUM_PROPOSALS_IN_FLIGHT:
+        return 'overloaded'
+    if size > MAXIMUM_WRITE_BYTES or (
+            in_flight + size > MAXIMUM_BYTES_IN_FLIGHT):
         return 'overloaded'
     return ''
 
--- a/poplarstep/edge/link.py
+++ b/poplarstep/edge/link.py
@@ -29,6 +29,8 @@
 from poplarstep.edge import codec
 
 OUTBOX_MESSAGES = 256
+# Encoded messages in one outbox. It holds two of the greatest size.
+OUTBOX_BYTES = 2 * codec.MAXIMUM_MESSAGE_BYTES
 BATCH_MESSAGES = 64
 # Upper bound of the encoded size of an envelope without its body.
 ENVELOPE_BYTES = 512
@@ -96,6 +98,8 @@
     Parameters
     ==========
 
+    queued_bytes : int
+        Size of the messages in the outbox.
     sent_number : int
         Number of the latest message that was sent.
     unacknowledged_since : int or None
@@ -112,13 +116,14 @@
     """
 
     __slots__ = (
-        'address', 'outbox', 'greenlet', 'sent_number',
+        'address', 'outbox', 'queued_bytes', 'greenlet', 'sent_number',
         'unacknowledged_since', 'acknowledged_number', 'dialled_at',
         'ack_timeout_ms')
 
     def __init__(self, peer_address, now):
         self.address = peer_address
         self.outbox = queue.Queue(maxsize=OUTBOX_MESSAGES)
+        self.queued_bytes = 0
         self.greenlet = None
         self.sent_number = 0
         self.unacknowledged_since = None
@@ -126,6 +131,23 @@
         self.dialled_at = now
         self.ack_timeout_ms = ACK_TIMEOUT_MS
 
+    def put(self, body):
+        r"""Add a message to the outbox; return whether there was room."""
+        if self.queued_bytes + len(body) > OUTBOX_BYTES:
+            return False
+        try:
+            self.outbox.put_nowait(body)
+        except queue.Full:
+            return False
+        self.queued_bytes += len(body)
+        return True
+
+    def get(self, timeout_s=None):
+        r"""Remove the oldest message; raise ``queue.Empty`` without one."""
+        body = self.outbox.get(block=timeout_s is not None, timeout=timeout_s)
+        self.queued_bytes -= len(body)
+        return body
+
 
 class Links:
     r"""Inbox and outgoing links of one process.
@@ -171,9 +193,7 @@
             # that are queued on it.
             self.counters.refused_large += 1
             return
-        try:
-            peer.outbox.put_nowait(body)
-        except queue.Full:
+        if not peer.put(body):
             self.counters.dropped_outbox += 1
 
     def read_loop(self, deliver):
@@ -246,8 +266,7 @@
         try:
             while True:
                 try:
-                    body = peer.outbox.get(
-                        timeout=IDLE_MS / clock.MILLISECONDS_PER_SECOND)
+                    body = peer.get(IDLE_MS / clock.MILLISECONDS_PER_SECOND)
                 except queue.Empty:
                     self.counters.closed_idle += 1
                     break
@@ -291,7 +310,7 @@
             # The queued messages have waited as long and are outdated too.
             self.counters.dropped_outbox += 1 + peer.outbox.qsize()
             while not peer.outbox.empty():
-                peer.outbox.get_nowait()
+                peer.get()
 
 
 def _is_silent(peer):
