Drain an agent at SIGTERM instead of ending with a traceback

What callers saw: the answer of a running request was lost when the agent beside its target was stopped, and the opens in its queue were lost too (review/agent-stop.toml: 10 of 10 agents with exit code 1).

Cause: the count of open flows read Flow.confirmed, which does not exist, so SIGTERM raised AttributeError in every agent that knew a flow. Ruled out: other attributes of this kind; a list of all attribute reads against all names that are defined finds none, but another class has this name, so the list would not have found it either.

Flows that the target has answered and requests that wait or run are counted apart, as functions of the agent's state. The agent stops when there are none of both and the task has processed the leave; before, an idle agent stopped before it could announce that. The exit code counts requests, not idle flows.

--- a/poplarstep/opaque_flows/agent_state.py
+++ b/poplarstep/opaque_flows/agent_state.py
@@ -178,3 +178,25 @@
 def load(state):
     r"""Return the ``Load`` that answers to balancers report."""
     return state.occupancy.load(state.queue_length, slots(state))
+
+
+def open_flows(state):
+    r"""Return the number of flows that the target holds."""
+    return sum(
+        flow.answered and flow.ended_at is None
+        for flow in state.flow_by_key.values())
+
+
+def unfinished_requests(state):
+    r"""Return the number of requests queued here or run by the target."""
+    return state.queue_length + state.occupancy.count()
+
+
+def may_stop(state):
+    r"""Return whether a stop of this agent cuts no request and no flow.
+
+    False until the agent has processed ``presence.Leave``, which announces
+    that it takes no new flow.
+    """
+    return state.leaving and not (
+        unfinished_requests(state) or open_flows(state))
--- a/poplarstep/programs/flow_agent.py
+++ b/poplarstep/programs/flow_agent.py
@@ -11,6 +11,7 @@
 from poplarstep.edge import datagrams
 from poplarstep.edge import plain_format
 from poplarstep.edge import wire
+from poplarstep.opaque_flows import agent_state
 from poplarstep.opaque_flows import assembly
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import presence
@@ -103,15 +104,9 @@
     r"""Start a graceful shutdown and return its ``Drain``."""
     node.task.post_unbounded([presence.Leave()])
     return nodes.Drain(
-        lambda: not _open_flows(flow_agent), lambda: _open_flows(flow_agent),
-        lambda: _open_flows(flow_agent))
-
-
-def _open_flows(flow_agent):
-    r"""Return the number of confirmed flows that have not ended."""
-    return sum(
-        flow.confirmed and flow.ended_at is None
-        for flow in flow_agent.flow_by_key.values())
+        lambda: agent_state.may_stop(flow_agent),
+        lambda: agent_state.unfinished_requests(flow_agent),
+        lambda: agent_state.open_flows(flow_agent))
 
 
 def _load_rows(flow_agent):
