Reset a refused flow only with proof that it is open nowhere

Cause: the balancer took 300 ms without a copy of the opening packet as the sign that the network had moved the flow. The caller sends copies after 200 and 600 ms, and the flow can be open elsewhere from the first copy that arrives there. Between 200 and 300 ms, and from 600 ms on after the first copy had come here, a rejection reset such flows. Ruled out: flows that the balancer learnt by a copy, flows with an unanswered offer, and packets that waited for the configuration are never reset.

A reset now needs every copy that the caller can have sent to have come to this balancer; a copy counts as due 50 ms early. A flow that is refused while a copy is due stays in the table; if the copy comes here, it completes the proof and the flow is reset then, else the caller times out. Data of the caller or an acceptance ends that. The decision moves into a module of its own, refusals.py.

Two older tests were wrong about the second copy: test_flow_is_offered_again_after_a_transient_reason and test_late_flow_waits_for_a_free_slot expected a reset after 1.2 s though the copy of 600 ms had never come, so it may have opened the flow elsewhere. They send both copies now and expect the reset as before; the second one has two new rows in which a copy is missing and no reset may follow.

--- a/poplarstep/opaque_flows/balancer.py
+++ b/poplarstep/opaque_flows/balancer.py
@@ -11,6 +11,7 @@
 ========
 
 poplarstep.opaque_flows.offers : chooses the target of a new flow.
+poplarstep.opaque_flows.refusals : decides whether a refused flow is reset.
 poplarstep.opaque_flows.lookups : finds the agent of an unknown flow.
 """
 
@@ -23,6 +24,7 @@
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import offers
 from poplarstep.opaque_flows import pauses
+from poplarstep.opaque_flows import refusals
 from poplarstep.opaque_flows import segment as segments
 
 TICK = 'steering'
@@ -59,6 +61,8 @@
     if tracked is None:
         tracked = offers.add_flow(state, segment.flow, now)
     tracked.last_used = now
+    # The caller has opened the flow, here or through another balancer.
+    tracked.may_be_open = True
     return _forward(state, tracked, _packet_from_caller(segment), now)
 
 
@@ -99,6 +103,7 @@
         # An earlier offer was accepted late; the current one is obsolete.
         state.placement.withdrawn(offered.number)
     offers.clear_offer(state, answer.flow, tracked)
+    tracked.refusal = ''
     state.retry_at_by_flow.pop(answer.flow, None)
     if tracked.opening_received_at is not None:
         state.opening_ms.observe(now - tracked.opening_received_at)
@@ -142,10 +147,8 @@
     if answer.reason == message.OVERLOADED:
         # The flow is refused now, while the caller has time to retry.
         offers.record_overload(state, tracked, now)
-        del state.tracked_by_flow[answer.flow]
-        return offers.refuse(
-            state, answer.flow, tracked, answer.reason,
-            offers.may_be_open(tracked, now))
+        return refusals.give_up(
+            state, answer.flow, tracked, answer.reason, now)
     return offers.next_offer(state, answer.flow, tracked, now)
 
 
--- a/poplarstep/opaque_flows/balancer_state.py
+++ b/poplarstep/opaque_flows/balancer_state.py
@@ -39,8 +39,14 @@
     is_late : bool
         Whether the flow only gets slots that no other flow waits for; see
         ``poplarstep.opaque_flows.offers``.
+    first_opening_at : int
+        When the first opening packet of the flow came to this balancer.
     copy_due_at : int or float
-        When a copy of the opening packet should have come, if none has.
+        From when on the next copy of the opening packet may be at another
+        balancer.
+    refusal : str
+        Why the flow was refused without a reset, which a copy of the opening
+        packet may still allow; empty otherwise.
     late_deadline : int
         When a late flow must have started.
     may_queue : bool
@@ -62,7 +68,8 @@
         'opening_deadline', 'last_used', 'lookup_count', 'may_queue',
         'reason_by_target', 'may_be_open', 'queue_deadline',
         'opening_received_at', 'round_count', 'looked_up_at',
-        'waiting_packets', 'is_late', 'late_deadline', 'copy_due_at')
+        'waiting_packets', 'is_late', 'late_deadline', 'copy_due_at',
+        'first_opening_at', 'refusal')
 
     def __init__(self, now):
         self.round_count = 0
@@ -70,7 +77,9 @@
         self.waiting_packets = ()
         self.is_late = False
         self.late_deadline = 0
+        self.first_opening_at = now
         self.copy_due_at = math.inf
+        self.refusal = ''
         self.agent = None
         self.opening_datagram = b''
         self.tried_targets = ()
@@ -98,6 +107,7 @@
     packets that targets returned, ``held`` and
     ``not_taken`` the answers of agents, ``silent_offers`` offers that timed
     out, ``parked`` flows that had to wait for another round of offers,
+    ``postponed_resets`` refused flows that a copy on its way may have opened,
     ``unconfirmed`` packets that were dropped without a confirmed
     configuration and ``outdated`` opening packets dropped after a pause.
     """
@@ -106,7 +116,7 @@
         'packets', 'carried', 'openings', 'offers', 'held', 'not_taken',
         'silent_offers', 'finds', 'strays', 'unknown_route', 'reset_flows',
         'no_target', 'unconfirmed', 'table_full', 'outdated', 'pauses',
-        'parked', 'wide_lookups', 'lookup_messages')
+        'parked', 'wide_lookups', 'lookup_messages', 'postponed_resets')
 
     def __init__(self):
         for name in self.__slots__:
--- a/poplarstep/opaque_flows/offers.py
+++ b/poplarstep/opaque_flows/offers.py
@@ -20,11 +20,9 @@
 reasons may pass, a new round with more candidates starts a little later.
 """
 
-import math
-
-from poplarstep.core import effect
 from poplarstep.opaque_flows import balancer_state as states
 from poplarstep.opaque_flows import message
+from poplarstep.opaque_flows import refusals
 from poplarstep.opaque_flows import segment as segments
 
 # Offers in a round that may not be queued, unless the service has a single
@@ -34,9 +32,6 @@
 # Callers retransmit an opening packet after 200 and 600 ms, and give up after
 # this time.
 CALLER_OPEN_TIMEOUT_MS = 1400
-# Callers retransmit an opening packet after 200 ms. If no copy has come by
-# this time, the network sends the flow to another balancer.
-COPY_TIMEOUT_MS = 300
 # Part of a route's latency objective that a new flow may spend in queues.
 # Without this bound an overloaded target would answer all requests late.
 QUEUE_FRACTION = 0.5
@@ -79,13 +74,16 @@
         segments.service_of(segment.flow))
     if route is None:
         state.counters.unknown_route += 1
-        return refuse(
+        return refusals.refuse(
             state, segment.flow, tracked, 'no-route', segment.repeated)
     if tracked is not None:
         tracked.last_used = now
+        if segment.repeated:
+            refusals.record_copy(tracked, now)
+        if tracked.refusal:
+            return refusals.answer_copy(state, segment.flow, tracked, now)
         if tracked.offered_to is not None or (
                 segment.flow in state.retry_at_by_flow):
-            tracked.copy_due_at = math.inf
             return []
         if tracked.agent is not None and now < tracked.opening_deadline:
             return [message.ToNode(tracked.agent, _offer(
@@ -97,8 +95,7 @@
         received_at = now
     tracked.opening_datagram = segment.datagram
     tracked.opening_received_at = received_at
-    tracked.may_be_open = segment.repeated or has_waited
-    tracked.copy_due_at = now + COPY_TIMEOUT_MS
+    refusals.start(tracked, received_at, segment.repeated or has_waited)
     tracked.service = _choose_service(state, route)
     tracked.priority = route.priority
     tracked.opening_deadline = received_at + min(
@@ -141,9 +138,7 @@
     if target is None or now >= tracked.opening_deadline:
         state.counters.no_target += 1
         clear_offer(state, flow, tracked)
-        del state.tracked_by_flow[flow]
-        return refuse(
-            state, flow, tracked, 'no-target', may_be_open(tracked, now))
+        return refusals.give_up(state, flow, tracked, 'no-target', now)
     tracked.offered_to = target
     tracked.offered_at = now
     tracked.offer_count += 1
@@ -219,25 +214,3 @@
     r"""Record that no answer to the current offer is expected any more."""
     state.offered_by_flow.pop(flow, None)
     tracked.offered_to = None
-
-
-def may_be_open(tracked, now):
-    r"""Return whether the flow may be open, here or at another balancer."""
-    return tracked.may_be_open or now >= tracked.copy_due_at
-
-
-def refuse(state, flow, tracked, reason, keep_open):
-    r"""Log the refusal of a flow, and reset the flow if it can't be open.
-
-    Without a reset, the caller of a flow that is not open times out.
-    ``keep_open`` is set for flows that may be open.
-    """
-    log_entry = effect.LogEvent('flow-refused', (
-        ('flow', segments.describe(flow)), ('reason', reason),
-        ('offers', tracked.offer_count if tracked else 0),
-        ('reset', not keep_open),
-        ('version', state.catalogue.version)))
-    if keep_open:
-        return [log_entry]
-    state.counters.reset_flows += 1
-    return [message.ResetFlow(flow), log_entry]
--- a/poplarstep/opaque_flows/tests/fixtures.py
+++ b/poplarstep/opaque_flows/tests/fixtures.py
@@ -97,10 +97,10 @@
 
 
 def segment(flow=FLOW, opening=False, data=0, closing=False, returned=False,
-            sequence=segments.NO_SEQUENCE_NUMBER):
+            sequence=segments.NO_SEQUENCE_NUMBER, repeated=False):
     r"""Return a packet of a flow."""
     return segments.Segment(
-        flow, opening, closing, False, returned, data, b'packet',
+        flow, opening, closing, False, returned, data, b'packet', repeated,
         sequence=sequence)
 
 
--- a/poplarstep/opaque_flows/tests/test_balancer.py
+++ b/poplarstep/opaque_flows/tests/test_balancer.py
@@ -97,11 +97,16 @@
     assert last_effects == []
     assert send_packet(state, opening=True, now=20) == []
     now = 80
+    copies = [200, 600]
     effects = list(balancer.BALANCER.process(state, TICK, now))
     while not reset_flows(effects):
         effects = reject_by_all(state, effects, reason, now)
         if not effects:
             now += 60
+            if copies and now >= copies[0]:
+                del copies[0]
+                assert send_packet(
+                    state, opening=True, repeated=True, now=now) == []
             effects = list(balancer.BALANCER.process(state, TICK, now))
         assert now < 2000
     assert reset_flows(effects) == [fixtures.FLOW]
--- a/poplarstep/opaque_flows/tests/test_starting.py
+++ b/poplarstep/opaque_flows/tests/test_starting.py
@@ -114,23 +114,25 @@
     return state
 
 
-@pytest.mark.parametrize('now, copy_at, resets', [
-    pytest.param(130, None, 0, id='late'),
+@pytest.mark.parametrize('now, copies, resets', [
+    pytest.param(130, (), 0, id='late'),
     # Callers give up after 1400 ms.
-    pytest.param(1370, 210, 1, id='too late'),
-    # The copy went to another balancer, where the flow may be open.
-    pytest.param(1370, None, 0, id='too late, no copy has come'),
+    pytest.param(1370, (210, 610), 1, id='too late'),
+    # A copy went to another balancer, where the flow may be open.
+    pytest.param(1370, (210,), 0, id='too late, one copy has come'),
+    pytest.param(1370, (610,), 0, id='too late, only the second has come'),
+    pytest.param(1370, (), 0, id='too late, no copy has come'),
 ])
-def test_late_flow_waits_for_a_free_slot(now, copy_at, resets):
+def test_late_flow_waits_for_a_free_slot(now, copies, resets):
     """Guards against a refusal of a flow that its caller still waits for.
 
     Guards also against a reset of a flow that is open through another
     balancer.
     """
     state = late_flow()
-    if copy_at is not None:
+    for copy_at in copies:
         balancer.BALANCER.process(state, message.FromCaller(
-            fixtures.segment(opening=True)), copy_at)
+            fixtures.segment(opening=True, repeated=True)), copy_at)
     effects = list(balancer.BALANCER.process(
         state, timer.Tick(balancer.TICK), now))
     assert [item.may_queue for item in offers_of(effects)] == [False]
