Close HTTP connections at once when a node stops

A stopped HTTP server waited 1 s for its open connections, which routers and targets keep open between two requests. The node's task had ended by then, so it forwarded nothing for that second at each planned stop, and restarted a second later.

test_a_stopped_server_does_not_wait_for_open_connections saw a wait of 1 s before, and none now.

--- /dev/null
+++ b/poplarstep/edge/tests/test_web.py
@@ -0,0 +1,35 @@
+"""Tests of the HTTP server of a process."""
+
+import os
+
+import gevent
+from gevent import socket
+import pytest
+
+from poplarstep.core import address
+from poplarstep.edge import web
+
+BOUND = address.Address('127.47.%d.1' % (os.getpid() % 250), 8000)
+REQUEST = b'GET /odd HTTP/1.1\r\nHost: a\r\n\r\n'
+
+
+@pytest.mark.parametrize('requests', [0, 1])
+def test_a_stopped_server_does_not_wait_for_open_connections(
+        monkeypatch, requests):
+    """Guards against a node that waits and forwards nothing at each stop.
+
+    Routers and targets keep their connections open between two requests.
+    """
+    server = web.serve(BOUND, web.Routes()).unwrap()
+    waits = []
+    join = server.pool.join
+    monkeypatch.setattr(server.pool, 'join', lambda timeout=None, **options: (
+        waits.append(timeout), join(timeout=timeout, **options)))
+    with socket.create_connection((BOUND.ip, BOUND.port)) as client:
+        for _ in range(requests):
+            client.sendall(REQUEST)
+            assert client.recv(4096).startswith(b'HTTP/1.1 404')
+        gevent.sleep(0)
+        server.stop()
+        assert waits and not any(waits)
+        assert client.recv(4096) == b''
--- a/poplarstep/edge/web.py
+++ b/poplarstep/edge/web.py
@@ -14,6 +14,9 @@
 
 MAXIMUM_BODY_BYTES = 1024 * 1024
 MAXIMUM_CONNECTIONS = 256
+# A stopped server closes its connections at once: most are kept open by
+# clients between requests, and a node forwards nothing while it waits.
+STOP_TIMEOUT_S = 0
 LENGTH_PATTERN = re.compile('[0-9]{1,15}')
 STATUS_BY_CODE = {
     200: '200 OK',
@@ -122,6 +125,7 @@
     r"""Start serving; return ``Success(server)`` or ``Failure(message)``."""
     server = pywsgi.WSGIServer(
         (bound.ip, bound.port), routes, log=None, spawn=MAXIMUM_CONNECTIONS)
+    server.stop_timeout = STOP_TIMEOUT_S
     try:
         server.start()
         # Accepted sockets inherit the option. Without it Nagle's algorithm
