Let a leaving agent stop while its flows are idle

A flow without a running request outlives the restart of the agent, because the target holds it and a balancer finds it again.

The agent now waits for requests that wait or run and for flows with a packet in the last 250 ms. A transfer that pauses for longer is retransmitted after the restart.

--- a/poplarstep/opaque_flows/agent_state.py
+++ b/poplarstep/opaque_flows/agent_state.py
@@ -9,6 +9,9 @@
 # Idle timeout of flows until the configuration sets one.
 DEFAULT_IDLE_MS = 15_000
 NANOSECONDS_PER_MILLISECOND = 1_000_000
+# The ends of a flow retransmit after 200 ms, so a flow that is silent for
+# longer transfers nothing.
+ACTIVE_FLOW_MS = 250
 
 
 class Flow:
@@ -180,6 +183,18 @@
     return state.occupancy.load(state.queue_length, slots(state))
 
 
+def active_flows(state, now):
+    r"""Return the number of open flows with a packet in the last moments.
+
+    Other open flows wait for their callers. They outlive a restart of the
+    agent, because the target holds them.
+    """
+    return sum(
+        flow.answered and flow.ended_at is None
+        and now - flow.last_used <= ACTIVE_FLOW_MS
+        for flow in state.flow_by_key.values())
+
+
 def open_flows(state):
     r"""Return the number of flows that the target holds."""
     return sum(
@@ -192,11 +207,11 @@
     return state.queue_length + state.occupancy.count()
 
 
-def may_stop(state):
-    r"""Return whether a stop of this agent cuts no request and no flow.
+def may_stop(state, now):
+    r"""Return whether a stop of this agent cuts no request and no transfer.
 
     False until the agent has processed ``presence.Leave``, which announces
     that it takes no new flow.
     """
     return state.leaving and not (
-        unfinished_requests(state) or open_flows(state))
+        unfinished_requests(state) or active_flows(state, now))
--- a/poplarstep/programs/flow_agent.py
+++ b/poplarstep/programs/flow_agent.py
@@ -104,7 +104,7 @@
     r"""Start a graceful shutdown and return its ``Drain``."""
     node.task.post_unbounded([presence.Leave()])
     return nodes.Drain(
-        lambda: agent_state.may_stop(flow_agent),
+        lambda: agent_state.may_stop(flow_agent, clock.now_ms()),
         lambda: agent_state.unfinished_requests(flow_agent),
         lambda: agent_state.open_flows(flow_agent))
 
