Find open flows after their route moved to another service

Cause: a balancer that does not know a flow asked only the agents of the services that the route has now. Restarted agents of the new service said that they may hold any flow, and passed the packets to their targets.

A route names the last three former services of its address, part of the replicated configuration. Weights of 0 keep a service among the present ones; a route under another name at the same address keeps its former services.

--- a/poplarstep/configuration/model.py
+++ b/poplarstep/configuration/model.py
@@ -78,16 +78,21 @@
         Latency objective; a slower answer counts as late.
     shares : tuple of Share
         Services that take new flows, with their weights.
+    former_services : tuple of int
+        Numbers of services that took new flows of the address before, the
+        latest first. Their targets may still hold flows.
     """
 
     __slots__ = (
         'name', 'number', 'address', 'idempotent', 'priority', 'timeout_ms',
-        'objective_ms', 'shares', 'changed')
+        'objective_ms', 'shares', 'changed', 'former_services')
 
     def __init__(
             self, name: str, number: int, address: address.Address,
             idempotent: bool, priority: int, timeout_ms: int,
-            objective_ms: int, shares: tuple[Share, ...], changed: int):
+            objective_ms: int, shares: tuple[Share, ...], changed: int,
+            former_services: tuple[int, ...] = ()):
+        self.former_services = former_services
         self.name = name
         self.number = number
         self.address = address
@@ -99,6 +104,21 @@
         self.changed = changed
 
 
+def services_of_flows(route):
+    r"""Return the numbers of all services that may hold flows of a route.
+
+    Examples
+    ========
+
+    >>> services_of_flows(Route(
+    ...     'r', 1, None, True, 0, 500, 100, (Share(4, 1),), 7, (2,)))
+    (4, 2)
+
+    """
+    return tuple(
+        share.service for share in route.shares) + route.former_services
+
+
 class Policy(record.Record):
     r"""Settings that apply to all routes.
 
--- a/poplarstep/configuration/replacement.py
+++ b/poplarstep/configuration/replacement.py
@@ -20,6 +20,10 @@
 # so their flows have no tokens and the drain deadline is never used.
 DRAIN_DEADLINE_MS = 600_000
 PRIORITY = 0
+# Former services of an address that are remembered. The state machine has no
+# clock, so they are not dropped when the last flow has ended; each one shares
+# the bounded number of agents that are asked for an unknown flow.
+MAXIMUM_FORMER_SERVICES = 3
 
 
 @machines.PLANNERS.register(command.ReplaceConfiguration)
@@ -116,7 +120,8 @@
         changed = 0 if existing is None else existing.changed
         route = model.Route(
             item.name, number, item.address, item.idempotent, item.priority,
-            item.timeout_ms, item.objective_ms, shares, changed)
+            item.timeout_ms, item.objective_ms, shares, changed,
+            _former_services(machine, wanted, item.address, shares))
         if existing is None:
             machine.next_route += 1
         if route != existing:
@@ -124,6 +129,26 @@
     return changes
 
 
+def _former_services(machine, wanted, route_address, shares):
+    r"""Return the services that held the flows of an address before.
+
+    Services that the wanted configuration removes lose their targets, and
+    with them all flows.
+    """
+    previous = machine.catalogue.route_by_address.get(route_address)
+    if previous is None:
+        return ()
+    kept_names = {item.name for item in wanted.services}
+    present = {share.service for share in shares}
+    former = []
+    for number in model.services_of_flows(previous):
+        service = machine.catalogue.service_by_number.get(number)
+        if service is not None and service.name in kept_names and (
+                number not in present and number not in former):
+            former.append(number)
+    return tuple(former[:MAXIMUM_FORMER_SERVICES])
+
+
 def _removed_routes(machine, wanted):
     names = {item.name for item in wanted.routes}
     return [
--- a/poplarstep/configuration/tests/test_replacement.py
+++ b/poplarstep/configuration/tests/test_replacement.py
@@ -124,3 +124,52 @@
     shares = (command.ServiceShare('dispatch', 90),
               command.ServiceShare('certs', 10))
     assert replacement.find_fault(wanted(1, [route(0, shares=shares)])) == ''
+
+
+@pytest.mark.parametrize('moves, former', [
+    (('dispatch',), ()),
+    (('dispatch', 'certs'), ('dispatch',)),
+    (('dispatch', 'certs', 'certs'), ('dispatch',)),
+    (('dispatch', 'certs', 'dispatch'), ('certs',)),
+    (('dispatch', 'certs', 'maps'), ('certs', 'dispatch')),
+    (('dispatch', 'certs', 'maps', 'tags', 'boats'),
+     ('tags', 'maps', 'certs')),
+    (('dispatch', None, 'certs'), ()),
+])
+def test_a_route_names_its_former_services(moves, former):
+    """Guards against open flows that no balancer finds after a route moved.
+
+    A balancer that restarted asked only the agents of the present service.
+    """
+    machine = machines.Machine()
+    services = tuple(command.WantedService(name, 0.0) for name in (
+        'dispatch', 'certs', 'maps', 'tags', 'boats'))
+    for revision, service in enumerate(moves, 1):
+        routes = [] if service is None else [route(0, service)]
+        apply(machine, wanted(revision, routes, services))
+    name_by_number = {
+        item.number: item.name
+        for item in machine.catalogue.service_by_name.values()}
+    found = machine.catalogue.route_by_address[ADDRESSES[0]].former_services
+    assert tuple(name_by_number[number] for number in found) == former
+
+
+@pytest.mark.parametrize('change', [
+    pytest.param({'name': 'r-9'}, id='the route has another name'),
+    pytest.param({'shares': (
+        command.ServiceShare('certs', 1), command.ServiceShare('maps', 0))},
+        id='weighted services'),
+])
+def test_former_services_belong_to_the_address(change):
+    """Guards against flows that are lost with the name of their route."""
+    machine = machines.Machine()
+    services = SERVICES + (command.WantedService('maps', 0.0),)
+    apply(machine, wanted(1, [route(0)], services))
+    apply(machine, wanted(2, [route(0, 'certs').replace(**change)], services))
+    dispatch = machine.catalogue.service_by_name['dispatch'].number
+    moved = machine.catalogue.route_by_address[ADDRESSES[0]]
+    assert moved.former_services == (dispatch,)
+    apply(machine, wanted(
+        3, [route(0, 'certs').replace(**change)], services[1:]))
+    moved = machine.catalogue.route_by_address[ADDRESSES[0]]
+    assert moved.former_services == ()
--- a/poplarstep/edge/codec.py
+++ b/poplarstep/edge/codec.py
@@ -190,12 +190,12 @@
         if known is not None:
             return known
         hints = typing.get_type_hints(record_class.__init__)
+        parameters = inspect.signature(record_class).parameters
         conversion_by_name = {
-            name: self._conversion(hints[name])
-            for name in inspect.signature(record_class).parameters}
+            name: self._conversion(hints[name]) for name in parameters}
         struct = msgspec.defstruct(
             record.wire_name(record_class),
-            [(name, item.wire_type)
+            [_wire_field(parameters[name], item)
              for name, item in conversion_by_name.items()],
             array_like=True, tag=record.wire_name(record_class), gc=False)
         plan = Plan(record_class, struct, conversion_by_name)
@@ -290,6 +290,20 @@
         return outcome
 
 
+def _wire_field(parameter, conversion):
+    r"""Return the field of a struct.
+
+    A field at the end of a record may have a default, which stands for it in
+    messages and files of a build that did not have the field.
+    """
+    default = parameter.default
+    if default is inspect.Parameter.empty:
+        return parameter.name, conversion.wire_type
+    if conversion.to_wire is not None:
+        default = conversion.to_wire(default)
+    return parameter.name, conversion.wire_type, default
+
+
 def _decompress(data):
     r"""Return the array of a compressed message.
 
--- a/poplarstep/opaque_flows/agent.py
+++ b/poplarstep/opaque_flows/agent.py
@@ -19,6 +19,7 @@
 import collections
 import math
 
+from poplarstep.configuration import model
 from poplarstep.core import effect
 from poplarstep.core import stage
 from poplarstep.core import timer
@@ -202,16 +203,32 @@
         state.counters.found += 1
         return _forward(state, event.source, packet, now) + [
             _accepted(state, event.source, packet.flow)]
-    if not _may_hold_unknown_flow(state, now):
+    if not _may_hold_unknown_flow(state, packet.flow, now):
         return []
     state.counters.passed_unsure += 1
     return _forward(state, event.source, packet, now)
 
 
-def _may_hold_unknown_flow(state, now):
-    r"""Return whether an earlier run of this agent may have started flows."""
-    return now - state.started_at <= state.flow_limit_ms and not (
-        state.target is not None and state.target.no_earlier_agent_run)
+def _may_hold_unknown_flow(state, flow, now):
+    r"""Return whether an earlier run of this agent may have started a flow."""
+    if now - state.started_at > state.flow_limit_ms:
+        return False
+    if state.target is None:
+        return True
+    return not state.target.no_earlier_agent_run and (
+        _was_offered_to_service(state, flow))
+
+
+def _was_offered_to_service(state, flow):
+    r"""Return whether the flow's route belongs or belonged to the target.
+
+    True without a configuration, which tells neither.
+    """
+    service = state.catalogue.service_by_name.get(state.target.service)
+    route = state.catalogue.route_by_address.get(segments.service_of(flow))
+    if service is None or route is None:
+        return state.catalogue.policy is None
+    return service.number in model.services_of_flows(route)
 
 
 @BALANCER_MESSAGES.handles(message.FlowQuery)
@@ -224,7 +241,7 @@
     if query.flow in state.flow_by_key:
         state.counters.found += 1
         return [_accepted(state, event.source, query.flow)]
-    if _may_hold_unknown_flow(state, now):
+    if _may_hold_unknown_flow(state, query.flow, now):
         return [message.ToNode(
             event.source, message.FlowUncertain(query.flow))]
     return []
--- a/poplarstep/opaque_flows/lookups.py
+++ b/poplarstep/opaque_flows/lookups.py
@@ -10,11 +10,15 @@
 know the flows of its target: it says so, and gets the packets, which its
 target returns if it does not hold the flow.
 
+A flow stays where it was opened when its route moves to another service, so
+the agents of the route's former services are asked as well.
+
 If no candidate has answered by the time at which the caller retransmits, the
 other targets of the service are asked too: the catalogue may have changed
 much since the flow was opened. These wide lookups share a limited rate.
 """
 
+from poplarstep.configuration import model
 from poplarstep.opaque_flows import candidates
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import segment as segments
@@ -63,7 +67,7 @@
     route = state.catalogue.route_by_address.get(segments.service_of(flow))
     if route is None:
         return ()
-    services = [share.service for share in route.shares]
+    services = model.services_of_flows(route)
     agents = _agents(state, services, flow, candidates.LOOKUP_CANDIDATES)
     if tracked.lookup_count == 0 or (
             now - tracked.looked_up_at < LOOKUP_TIMEOUT_MS):
