Show a distant learner that is never promoted beside changes

Found while looking for other reasons why a replaced voter takes long: the leader promotes a learner when it knows that the learner holds all committed entries. If the learner's answers take longer than the time between two changes, there is always a later commit.

Election timeouts of the test group are seeded now, so that its runs repeat.

--- a/poplarstep/control/tests/group.py
+++ b/poplarstep/control/tests/group.py
@@ -10,6 +10,7 @@
 
 import collections
 import os
+import random
 import shutil
 
 from poplarstep.configuration import command
@@ -122,6 +123,10 @@
         offset_ms = clock.now_ms() - self.driver.now
         host.storage = control.open_storage(found).unwrap()
         host.replica = control.make_replica(found, host.storage.loaded)
+        # The program seeds the election timeouts by the system.
+        host.replica.random = random.Random(host.name)
+        states.restart_election_timer(
+            host.replica, self.driver.now + offset_ms)
         pipeline, host.machine, _, _ = control.make_pipeline(
             found, host.replica)
         timers = timer.TimerQueue()
@@ -202,6 +207,24 @@
                 self.largest_by_name[host.name], host.folder_bytes())
         return reply is not None and reply.outcome.status == command.APPLIED
 
+    def post_configuration(self, revision, document):
+        r"""Send a whole configuration to the leader without waiting."""
+        leader = self.leader()
+        if leader is not None:
+            self.key += 1
+            self.driver.post(leader.name, message.IdempotentCommand(
+                self.key, command.ReplaceConfiguration(
+                    revision, (), (), 0, document)))
+
+    def slow_links(self, host, delay_ms):
+        r"""Set the one-way delay between a host and the others."""
+        faults = simulation.Faults(delay_ms, delay_ms)
+        for other in self.hosts:
+            if other is not host:
+                pairs = self.driver.faults_by_pair
+                pairs[other.name, host.name] = faults
+                pairs[host.name, other.name] = faults
+
     def read_document(self):
         r"""Return the document of the newest configuration, or None."""
         reply = self.ask(message.ReadConfiguration, timeout_ms=12_000)
--- a/poplarstep/control/tests/test_long_history.py
+++ b/poplarstep/control/tests/test_long_history.py
@@ -68,3 +68,30 @@
     group, _ = make_group(tmp_path, size, changes, document_bytes)
     assert max(group.largest_by_name.values()) <= MAXIMUM_FOLDER_BYTES
     group.close()
+
+
+@pytest.mark.parametrize('delay_ms, interval_ms', [
+    (1, 5), (20, 50), (60, 50), (100, 150)])
+def test_a_distant_learner_becomes_a_voter_beside_changes(
+        tmp_path, delay_ms, interval_ms):
+    """Guards against a learner that is never promoted while changes go on.
+
+    It is promoted when the leader knows that it holds all committed entries.
+    If its answers take longer than the time between two changes, the leader
+    knows of a further commit by then.
+    """
+    group = groups.Group(str(tmp_path), 3)
+    assert group.run(FORMATION_MS, lambda: len(group.voters()) == 3)
+    host = next(item for item in group.hosts if item is not group.leader())
+    group.slow_links(host, delay_ms)
+    group.lose_disk(host)
+    group.run(1000)
+    group.start(host)
+    end = group.driver.now + CATCH_UP_MS
+    revision = 0
+    while group.driver.now < end and not group.is_voter(host):
+        revision += 1
+        group.post_configuration(revision, bytes(20_000))
+        group.run(interval_ms)
+    assert group.is_voter(host)
+    group.close()
