Name a rate for cold targets in the configuration of the soak

Cause: since a service without a rate has no limit, the soak's configuration, which named none, asked no agent to enforce one, while the check expects five a second. The check saw it by chance: most targets get fewer.

The configuration names 2 flows a second and the agents a slack of 3, so the limit is five as the check has it; the check is as before. test_agents_enforce_the_limit_that_the_check_expects failed without the rate.

--- a/soak/operators.py
+++ b/soak/operators.py
@@ -112,7 +112,9 @@
     r"""Return a full configuration; only objectives vary by revision."""
     return {
         'revision': revision,
-        'services': [{'name': item.name} for item in systems.SERVICES],
+        'services': [
+            {'name': item.name, 'cold_per_second': systems.COLD_PER_S}
+            for item in systems.SERVICES],
         'routes': [{
             'name': 'route-%s' % item.name,
             'address': str(system.route_address(item)),
--- a/soak/run.py
+++ b/soak/run.py
@@ -89,6 +89,9 @@
                'were'),
     Regression(14, 'a link that was silent in one direction was never '
                'redialled: edge/tests/test_link.py'),
+    Regression(2, 'the configuration of the soak named no rate for cold '
+               'targets, so agents enforced no limit: '
+               'soak/tests/test_run.py'),
 )
 
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -33,9 +33,11 @@
 TARGET_PORT, OUTBOUND_PORT = 9000, 9100
 DATA_CENTRES = ('a', 'b', 'c')
 # Duration of the cold start of a target, and its limit on new flows per second
-# during that time.
+# during that time. An agent adds its slack to the rate of the configuration.
 COLD_MS = 2000
 COLD_LIMIT = 5
+COLD_PER_S = 2
+COLD_SLACK = COLD_LIMIT - COLD_PER_S
 HTTP_TIMEOUT_S = 1.5
 READINESS_PERIOD_S = 0.5
 DRAIN_MS = 2500
@@ -261,7 +263,7 @@
                 'target-address': self.address_of(AGENT, index, TARGET_PORT),
                 'outbound-address': self.address_of(
                     AGENT, index, OUTBOUND_PORT),
-                'cold-slack': COLD_LIMIT, 'drain-time': DRAIN_MS})
+                'cold-slack': COLD_SLACK, 'drain-time': DRAIN_MS})
 
     def _target(self, index, service):
         name = 'target-%d' % index
--- a/soak/tests/test_run.py
+++ b/soak/tests/test_run.py
@@ -1,11 +1,15 @@
 """A short seeded run of the soak."""
 
+import json
 import random
 import types
 
 import pytest
 
+from poplarstep.opaque_flows import admission
+from poplarstep.programs import operator_interface
 from soak import faults
+from soak import operators
 from soak import run
 from soak import system as systems
 
@@ -42,6 +46,25 @@
         assert kind in faults.KINDS_BY_FAULT[item.kind]
 
 
+@pytest.mark.parametrize('revision', [1, 2])
+def test_agents_enforce_the_limit_that_the_check_expects(revision):
+    """Guards against a check of cold targets that no agent is asked to meet.
+
+    A service whose configuration names no rate has no limit.
+    """
+    system = types.SimpleNamespace(
+        route_address=lambda service: '127.0.0.1:%d' % (
+            5000 + systems.SERVICES.index(service)))
+    body = operators.configuration(system, revision, random.Random(1))
+    wanted = operator_interface.parse_configuration(
+        json.dumps(body).encode()).unwrap()
+    state = types.SimpleNamespace(
+        cold_factor=1, cold_slack=systems.COLD_SLACK)
+    for service in wanted.services:
+        assert service.cold_per_second > 0
+        assert admission.cold_limit(state, service) == systems.COLD_LIMIT
+
+
 @pytest.mark.timeout(300)
 def test_short_run_passes_all_checks(tmp_path):
     """Guards against violations of the guarantees under faults."""
