Prefer local targets where a data centre has enough of them

Cause: locality is switched on for a whole balancer, also for services with a handful of local targets, whose flows a burst sends to and fro. Change: locality `auto` applies the preference to services with 16 local slots or more, until fewer than 12 are left, and logs each change. Ruled out: a limit without hysteresis (targets that are replaced in turn would switch it), and a setting per service (the catalogue has the numbers). Off by default.

--- a/poplarstep/opaque_flows/explanations.py
+++ b/poplarstep/opaque_flows/explanations.py
@@ -115,7 +115,7 @@
     scratch.placement.ejection = state.placement.ejection.copied(services)
     scratch.placement.groups = state.placement.groups.copied(services)
     scratch.locality = copy.copy(state.locality)
-    scratch.locality.spilling = set(state.locality.spilling)
+    scratch.locality.detach()
     known = state.placement.estimate_by_number
     scratch.placement.estimate_by_number = {
         target.number: copy.copy(known[target.number])
--- a/poplarstep/opaque_flows/local_candidates.py
+++ b/poplarstep/opaque_flows/local_candidates.py
@@ -37,13 +37,20 @@
         Configuration of this node.
     centre_name : str
         Name of the balancer's own data centre.
+    prefers_local : callable
+        Takes the number of a service; returns whether its candidates are to
+        be local ones first. The others have candidates of all data centres.
     """
 
-    __slots__ = ('centre_name', 'local_version', 'local_ring_by_service')
+    __slots__ = (
+        'centre_name', 'prefers_local', 'local_version',
+        'local_ring_by_service')
 
-    def __init__(self, catalogue, centre_name):
+    def __init__(
+            self, catalogue, centre_name, prefers_local=lambda service: True):
         super().__init__(catalogue)
         self.centre_name = centre_name
+        self.prefers_local = prefers_local
         self.local_version = None
         self.local_ring_by_service = {}
 
@@ -60,7 +67,7 @@
         centre = self.own_centre()
         selectable = self.catalogue.selectable_by_service.get(service, ())
         wanted = candidates.OFFERED_CANDIDATES * (1 + round_number)
-        if centre is None or (
+        if centre is None or not self.prefers_local(service) or (
                 len(selectable) <= max(wanted, candidates.LOOKUP_CANDIDATES)):
             return super().offered(service, flow, round_number)
         examined = MAXIMUM_EXAMINED * (1 + round_number)
@@ -86,7 +93,8 @@
         """
         targets = self.catalogue.targets_by_service.get(service, {})
         if wanted > candidates.LOOKUP_CANDIDATES or (
-                len(targets) <= candidates.LOOKUP_CANDIDATES):
+                not self.prefers_local(service)
+                or len(targets) <= candidates.LOOKUP_CANDIDATES):
             return super().lookup(service, flow, wanted)
         found, passed, count_by_centre = [], [], {}
         for target in itertools.islice(
--- a/poplarstep/opaque_flows/locality.py
+++ b/poplarstep/opaque_flows/locality.py
@@ -13,12 +13,14 @@
 their load alone.
 
 Locality chooses among the targets of a service only; the shares of a route
-decide the service before.
+decide the service before. The locality ``auto`` applies the preference only to
+services of which the data centre has enough slots.
 
 See Also
 ========
 
 poplarstep.opaque_flows.local_candidates : the candidates of a flow.
+poplarstep.opaque_flows.local_capacity : the services with enough slots.
 poplarstep.opaque_flows.load_groups : utilisation of a data centre's targets.
 """
 
@@ -27,6 +29,7 @@
 from poplarstep.opaque_flows import candidates
 from poplarstep.opaque_flows import crossings
 from poplarstep.opaque_flows import local_candidates
+from poplarstep.opaque_flows import local_capacity
 
 DEFAULT_LOCALITY = 'none'
 LOCALITIES = registry.Registry('locality')
@@ -46,12 +49,9 @@
     r"""Base class, which treats all data centres alike.
 
     ``spilling`` holds the numbers of the services that spill.
-    ``extra_offers`` is the number of offers in a round that may not be
-    queued, in addition to ``offers.OFFERS_WITHOUT_QUEUE``.
     """
 
     __slots__ = ('spilling',)
-    extra_offers = 0
 
     def __init__(self, centre_name):
         self.spilling = set()
@@ -64,6 +64,13 @@
         r"""Return the state of the stage ``CROSSINGS``, None without it."""
         return None
 
+    def extra_offers(self, service):
+        r"""Return the offers in a round that may not be queued.
+
+        They are in addition to ``offers.OFFERS_WITHOUT_QUEUE``.
+        """
+        return 0
+
     def preferred(self, state, tracked, offered, now):
         r"""Return those of the candidates to which a flow may go now."""
         return offered
@@ -75,6 +82,10 @@
     def retain(self, services):
         r"""Forget the services that are not in ``services``."""
 
+    def detach(self):
+        r"""Make the state of a shallow copy independent of its original."""
+        self.spilling = set(self.spilling)
+
 
 @LOCALITIES.register('none')
 class NoLocality(Locality):
@@ -88,7 +99,6 @@
     r"""Targets of the own data centre first, others when these are busy."""
 
     __slots__ = ('centre_name', 'index')
-    extra_offers = 1
 
     def __init__(self, centre_name):
         super().__init__(centre_name)
@@ -106,6 +116,10 @@
         return crossings.make_traffic(
             catalogue, agents, counters, self.centre_name)
 
+    def extra_offers(self, service):
+        r"""Return one offer more, for another data centre."""
+        return 1
+
     def preferred(self, state, tracked, offered, now):
         r"""Return those of the candidates to which a flow may go now.
 
@@ -160,6 +174,75 @@
         self.spilling.intersection_update(services)
 
 
+@LOCALITIES.register('auto')
+class AutoLocality(PreferLocal):
+    r"""As ``prefer`` for services with enough local slots, else ``none``.
+
+    Parameters
+    ==========
+
+    capacity : LocalCapacity
+        Tells which services have enough slots in the data centre.
+    preferring : set of int
+        Numbers of the services with the preference, as logged last.
+    """
+
+    __slots__ = ('capacity', 'preferring')
+
+    def __init__(self, centre_name):
+        super().__init__(centre_name)
+        self.capacity = None
+        self.preferring = set()
+
+    def make_index(self, catalogue):
+        r"""Return the index of candidates."""
+        self.capacity = local_capacity.make_local_capacity(
+            catalogue, self.centre_name)
+        self.index = local_candidates.LocalCandidateIndex(
+            catalogue, self.centre_name, self.capacity.is_enough)
+        return self.index
+
+    def extra_offers(self, service):
+        r"""Return one offer more for a service with the preference."""
+        return int(self.capacity.is_enough(service))
+
+    def preferred(self, state, tracked, offered, now):
+        r"""Return those of the candidates to which a flow may go now."""
+        if not self.capacity.is_enough(tracked.service):
+            return offered
+        return super().preferred(state, tracked, offered, now)
+
+    def check_spill(self, state, service, now):
+        r"""Return log entries for changes of the preference and of a spill.
+
+        A service that loses the preference also stops to spill.
+        """
+        enough = self.capacity.is_enough(service)
+        entries = []
+        if enough != (service in self.preferring):
+            self.preferring ^= {service}
+            entries.append(effect.LogEvent('locality-changed', (
+                ('service', _name(state, service)),
+                ('data_centre', self.centre_name),
+                ('slots', self.capacity.slots(service)),
+                ('locality', 'prefer' if enough else 'none'),
+                ('version', state.catalogue.version))))
+        if enough:
+            return entries + super().check_spill(state, service, now)
+        self.spilling.discard(service)
+        return entries
+
+    def retain(self, services):
+        r"""Forget the services that are not in ``services``."""
+        super().retain(services)
+        self.preferring.intersection_update(services)
+
+    def detach(self):
+        r"""Make the state of a shallow copy independent of its original."""
+        super().detach()
+        self.preferring = set(self.preferring)
+
+
 def _name(state, service):
     known = state.catalogue.service_by_number.get(service)
     return service if known is None else known.name
--- a/poplarstep/opaque_flows/offers.py
+++ b/poplarstep/opaque_flows/offers.py
@@ -190,7 +190,7 @@
 
 def _target_in_time(state, tracked, candidates, now):
     r"""Return the next target of a round, at last one that may queue."""
-    if tracked.offer_count < _offers_without_queue(state):
+    if tracked.offer_count < _offers_without_queue(state, tracked):
         target = locality.choose(state, tracked, candidates, now)
         if target is not None:
             tracked.may_queue = len(candidates) == 1
@@ -201,8 +201,8 @@
     return _shortest_queue(state, tracked, candidates, now)
 
 
-def _offers_without_queue(state):
-    return OFFERS_WITHOUT_QUEUE + state.locality.extra_offers
+def _offers_without_queue(state, tracked):
+    return OFFERS_WITHOUT_QUEUE + state.locality.extra_offers(tracked.service)
 
 
 def _target_of_late_flow(state, tracked, candidates, now):
@@ -210,7 +210,7 @@
     tracked.is_late = True
     tracked.may_queue = False
     if now < state.late_blocked_until or (
-            tracked.offer_count >= _offers_without_queue(state)):
+            tracked.offer_count >= _offers_without_queue(state, tracked)):
         return None
     return locality.choose(state, tracked, candidates, now)
 
--- a/poplarstep/opaque_flows/tests/test_locality.py
+++ b/poplarstep/opaque_flows/tests/test_locality.py
@@ -317,3 +317,56 @@
         'tied-offers': 0, 'avoid-failing': 'off'}, 1, random.Random(1), 0)
     assert len(pipeline.steps) == stages
     assert (state.traffic is None) == (name == 'none')
+
+
+@pytest.mark.parametrize('steps', [
+    ((45, 'none'),), ((48, 'prefer'),),
+    ((48, 'prefer'), (39, 'prefer'), (33, 'none'), (45, 'none')),
+    ((30, 'none'), (51, 'prefer'), (0, 'none'))])
+def test_preference_needs_enough_local_slots(steps):
+    """Guards against flows that swing between a few local targets and others.
+
+    A step is the number of targets with one slot, of which a third are local,
+    and how candidates are chosen.
+    """
+    state = make_balancer(0, name='auto')
+    entries = []
+    for step, (count, expected) in enumerate(steps):
+        set_target_count(state, 3 + step, count)
+        model_state = make_balancer(count, name=expected)
+        for flow in FLOWS[:20]:
+            assert {item.number for item in state.candidates.offered(
+                1, flow, 0)} == {
+                    item.number for item in model_state.candidates.offered(
+                        1, flow, 0)}
+        entries += [
+            dict(item.fields)['locality']
+            for item in state.locality.check_spill(state, 1, step)]
+        assert state.locality.extra_offers(1) == (expected == 'prefer')
+    names = ['none'] + [name for _, name in steps]
+    assert entries == [
+        now for before, now in zip(names, names[1:]) if before != now]
+
+
+def set_target_count(state, version, count):
+    """Add or remove targets of the service until there are ``count``."""
+    present = set(state.catalogue.targets_by_service.get(1, {}))
+    wanted = set(range(999, 999 + count))
+    state.catalogue.apply(
+        [model.Change(version, model.Removal('target', number))
+         for number in present - wanted]
+        + [model.Change(version, fixtures.make_target(0).replace(
+            name='t-%d' % number, number=number, data_centre=1 + number % 3,
+            agent=agent_of(number)))
+           for number in wanted - present])
+
+
+def test_service_that_loses_the_preference_stops_to_spill():
+    """Guards against a spill that nothing ends."""
+    state = make_balancer(48, name='auto')
+    report(state, 0.9, 1000)
+    state.locality.check_spill(state, 1, 1000)
+    assert state.locality.spilling == {1}
+    set_target_count(state, 3, 30)
+    state.locality.check_spill(state, 1, 1001)
+    assert not state.locality.spilling
