Let agents deny a query instead of keeping silent

Change: an agent with dead-flows = reset answers with a SurveyReply of the number 0 that denies the flow. With ignore it keeps silent as before.

Ruled out: denial by silence after 40 ms. It would be no proof, and the packet would go to wrong targets while the right agent restarts.

--- a/poplarstep/opaque_flows/agent_lookups.py
+++ b/poplarstep/opaque_flows/agent_lookups.py
@@ -99,14 +99,26 @@
     query = event.message
     if belongs_to_other_target(state, query):
         forget_flow(state, query, now)
-        return []
+        return _denial(state, event)
     if _holds(state, query.flow):
         state.counters.found += 1
         return [agent_flows.accepted(state, event.source, query.flow)]
     if _may_hold_unknown_flow(state, query.flow, now):
         return [message.ToNode(
             event.source, message.FlowUncertain(query.flow))]
-    return []
+    return _denial(state, event)
+
+
+def _denial(state, event):
+    r"""Return the answer that the target does not hold the flow of a query.
+
+    A balancer sends packets to uncertain agents when all have answered. With
+    ``dead-flows`` = ``ignore`` it does not need the answer.
+    """
+    if not state.resets_dead_flows:
+        return []
+    return [message.ToNode(event.source, message.SurveyReply(
+        0, (), (), (event.message.flow,)))]
 
 
 @agent_flows.BALANCER_MESSAGES.handles(message.FlowSurvey)
--- a/poplarstep/opaque_flows/message.py
+++ b/poplarstep/opaque_flows/message.py
@@ -143,7 +143,9 @@
 class FlowQuery(record.Record):
     r"""Question whether an agent holds a flow; carries no packet.
 
-    The balancer keeps the packets of the flow until an agent answers.
+    The balancer keeps the packets of the flow until an agent answers. One
+    that does not hold the flow answers with a ``SurveyReply`` if it resets
+    dead flows, and keeps silent otherwise.
     """
 
     __slots__ = ('flow', 'acknowledged')
@@ -235,7 +237,7 @@
 
 
 class SurveyReply(record.Record):
-    r"""Answer to a survey.
+    r"""Answer to a survey, or to a ``FlowQuery`` with the number 0.
 
     Parameters
     ==========
--- a/poplarstep/opaque_flows/tests/fixtures.py
+++ b/poplarstep/opaque_flows/tests/fixtures.py
@@ -77,7 +77,7 @@
 
 def make_agent(
         catalogue=None, slots=1, request_queue='off', load_reports='off',
-        **fields):
+        dead_flows='reset', **fields):
     r"""Return the state of the agent of target 0.
 
     It has received a heartbeat at time 0, unless ``has_heartbeat`` is false.
@@ -86,7 +86,7 @@
         'node': 'side-0', 'data-centre': 'maadi',
         'agent-address': AGENTS[0], 'target-fresh': 1900,
         'flow-limit': 60_000, 'cold-factor': COLD_FACTOR,
-        'cold-slack': COLD_SLACK, 'dead-flows': 'reset',
+        'cold-slack': COLD_SLACK, 'dead-flows': dead_flows,
         'request-queue': request_queue,
         'load-reports': load_reports,
     }, catalogue or make_catalogue(), AGENT_INCARNATION, now=0)
--- a/poplarstep/opaque_flows/tests/test_load_reports.py
+++ b/poplarstep/opaque_flows/tests/test_load_reports.py
@@ -42,7 +42,7 @@
     now = busy_ms + idle_ms
     effects = fixtures.send_to_agent(
         state, message.FlowQuery(fixtures.FLOW), now)
-    if not effects:
+    if not fixtures.messages_of(effects, message.FlowAccepted):
         effects = fixtures.send_to_agent(state, fixtures.offer(), now)
     answer, = fixtures.messages_of(effects, message.FlowAccepted)
     assert answer.load.utilization_permille == pytest.approx(expected, abs=5)
--- a/poplarstep/opaque_flows/tests/test_lookups.py
+++ b/poplarstep/opaque_flows/tests/test_lookups.py
@@ -131,18 +131,26 @@
     assert not tracked.waiting_packets
 
 
-@pytest.mark.parametrize('has_flow, restarted, answers', [
-    pytest.param(True, False, [message.FlowAccepted], id='holds the flow'),
-    pytest.param(False, False, [], id='does not hold it'),
-    pytest.param(False, True, [message.FlowUncertain], id='may hold it'),
+DENIED = message.SurveyReply(0, (), (), (fixtures.FLOW,))
+
+
+@pytest.mark.parametrize('has_flow, restarted, dead_flows, answers', [
+    pytest.param(True, False, 'ignore', [accepted()], id='holds the flow'),
+    pytest.param(False, False, 'ignore', [], id='does not hold it'),
+    pytest.param(False, False, 'reset', [DENIED], id='denies it'),
+    pytest.param(False, True, 'reset', [message.FlowUncertain(fixtures.FLOW)],
+                 id='may hold it'),
 ])
-def test_agent_answers_a_question(has_flow, restarted, answers):
+def test_agent_answers_a_question(has_flow, restarted, dead_flows, answers):
     """Guards against a flow that is lost because its agent keeps silent."""
     state = fixtures.make_agent(
-        sequence=9 if restarted else 1)
+        sequence=9 if restarted else 1, dead_flows=dead_flows)
     if has_flow:
         fixtures.send_to_agent(state, fixtures.offer())
     sent = fixtures.send_to_agent(
         state, message.FlowQuery(fixtures.FLOW), now=5)
-    assert [type(item.message) for item in sent] == answers
+    expected = [
+        item.replace(load=sent[0].message.load)
+        if type(item) is message.FlowAccepted else item for item in answers]
+    assert [item.message for item in sent] == expected
     assert fixtures.to_target(sent) == []
--- a/poplarstep/opaque_flows/tests/test_moved_routes.py
+++ b/poplarstep/opaque_flows/tests/test_moved_routes.py
@@ -53,7 +53,13 @@
         move_route(fixtures.make_catalogue(), service, former),
         sequence=3)
     effects = fixtures.send_to_agent(state, question, now=100)
-    assert bool(effects) is may_hold
+    asks_target = fixtures.to_target(effects) or fixtures.messages_of(
+        effects, message.FlowUncertain)
+    assert bool(asks_target) is may_hold
+    if not may_hold:
+        assert fixtures.messages_of(effects, message.SurveyReply) == [
+            message.SurveyReply(0, (), (), (fixtures.FLOW,))] * (
+                type(question) is message.FlowQuery)
 
 
 def test_a_restarted_agent_without_a_configuration_passes_flows():
