Search for an unknown flow in two steps with budgets in bytes

Change, with dead-flows = reset only: - surveys.py asks the agents of the candidates at once, and all others after 40 ms with up to 40 flows in a message. Unanswered questions are repeated after 150 to 600 ms. - uncertain_agents.py sends a packet to all uncertain agents at once when each agent has answered; a silent one holds it up for 2.5 s. An agent gets a packet of a flow once a second at most, and only if the caller has sent one since. Agents are asked again 150 ms after a packet. - lookup_budget.py counts questions and packets separately in bytes; setting lookup-rate. Flows are served in order of arrival, and queued flows are not evaluated again on each tick. - pending_flows.py holds the state. A flow that is opened again, or whose first data comes after packets without data, is asked for anew: earlier denials may be older than its opening. - Packets without data take the same steps; a flow without data is not reset.

--- a/poplarstep/opaque_flows/assembly.py
+++ b/poplarstep/opaque_flows/assembly.py
@@ -11,9 +11,9 @@
 from poplarstep.opaque_flows import crossings
 from poplarstep.opaque_flows import ejection
 from poplarstep.opaque_flows import locality
+from poplarstep.opaque_flows import pending_flows
 from poplarstep.opaque_flows import placement
 from poplarstep.opaque_flows import presence
-from poplarstep.opaque_flows import surveys
 
 # Modules whose ``TICK`` events the program must send to the pipeline.
 BALANCER_TICKING = (subscriber, publisher, balancers)
@@ -51,9 +51,10 @@
             or subscriber.lease_holds(subscriber_state, now)),
         placement.make_placement(settings['placement'], generator),
         generator,
-        surveys.make_surveys(
+        pending_flows.make_surveys(
             settings['dead-flows'] == 'reset',
-            lambda now: subscriber_state.lease_until - publisher.LEASE_MS),
+            lambda now: subscriber_state.lease_until - publisher.LEASE_MS,
+            settings['lookup-rate']),
         settings['tied-offers'],
         locality.make_locality(
             settings['locality'], settings['data-centre']))
--- a/poplarstep/opaque_flows/balancer.py
+++ b/poplarstep/opaque_flows/balancer.py
@@ -24,6 +24,7 @@
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import offers
 from poplarstep.opaque_flows import pauses
+from poplarstep.opaque_flows import pending_flows
 from poplarstep.opaque_flows import refusals
 from poplarstep.opaque_flows import segment as segments
 from poplarstep.opaque_flows import surveys
@@ -118,18 +119,16 @@
     r"""Send the waiting packets of a flow to the agent that holds it."""
     tracked.agent = agent
     tracked.lookup_count = 0
-    pending = surveys.forget(state, flow)
-    if pending is not None and not tracked.waiting_packets:
-        tracked.waiting_packets = (pending.packet,)
-    return lookups.found(state, tracked)
+    pending_flows.forget(state, flow)
+    return pending_flows.found(state, tracked)
 
 
 @AGENT_MESSAGES.handles(message.SurveyReply)
 def survey_reply(state, event, now):
     r"""Evaluate an agent's answer to a survey."""
-    held, effects = surveys.process_reply(
-        state, event.source, event.message, now)
-    for flow in held:
+    effects = []
+    for flow in surveys.process_reply(
+            state, event.source, event.message, now):
         tracked = state.tracked_by_flow.get(flow)
         if tracked is not None and tracked.agent is None:
             effects.extend(_found(state, flow, tracked, event.source))
@@ -158,11 +157,11 @@
 
 @AGENT_MESSAGES.handles(message.FlowUncertain)
 def flow_uncertain(state, event, now):
-    r"""Send the packets of a flow to an agent that may hold it."""
+    r"""Evaluate the answer of an agent that may hold a flow."""
     tracked = state.tracked_by_flow.get(event.message.flow)
     if tracked is None or tracked.agent is not None:
         return []
-    return lookups.uncertain(state, tracked, event.source)
+    return lookups.uncertain(state, tracked, event, now)
 
 
 @AGENT_MESSAGES.handles(message.FlowRejected)
@@ -247,7 +246,7 @@
     if tracked.agent is None:
         # The packet was part of a lookup or a survey, so the agent that holds
         # the flow has received it.
-        surveys.record_denial(state, answer.flow, event.source)
+        pending_flows.record_denial(state, answer.flow, event.source)
         return []
     tracked.agent = tied_offers.agent_after_return(tracked, event.source)
     return _forward(state, tracked, _packet_from_agent(answer), now)
@@ -326,7 +325,7 @@
     idle_ms = policy.flow_idle_ms if policy else DEFAULT_IDLE_MS
     for flow in list(state.tracked_by_flow):
         tracked = state.tracked_by_flow[flow]
-        lookups.drop_outdated(tracked, now)
+        lookups.drop_outdated(state, flow, tracked, now)
         if now - tracked.last_used > idle_ms and (
                 tracked.offered_to is None
                 and flow not in state.retry_at_by_flow):
--- a/poplarstep/opaque_flows/balancer_state.py
+++ b/poplarstep/opaque_flows/balancer_state.py
@@ -1,15 +1,20 @@
 r"""State of a balancer of opaque flows."""
 
 import math
+import types
 
 from poplarstep.core import histogram
 from poplarstep.limits import budget
 from poplarstep.opaque_flows import agent_index
 from poplarstep.opaque_flows import locality as localities
 from poplarstep.opaque_flows import lookups
-from poplarstep.opaque_flows import surveys
+from poplarstep.opaque_flows import pending_flows
 from poplarstep.opaque_flows import tied_offers
 
+# Shared by the flows that have not been passed to an uncertain agent, which
+# are nearly all; it is replaced and never changed.
+NOT_PASSED = types.MappingProxyType({})
+
 
 class TrackedFlow:
     r"""Entry of the flow table of a balancer; times in ms.
@@ -38,7 +43,10 @@
     looked_up_at : int
         When the last lookup was sent.
     waiting_packets : sequence of FlowPacket
-        Packets that wait for the answer to the last lookup.
+        Packets that wait until the agent is found.
+    passed_at_by_agent : dict
+        When each uncertain agent last got a packet of the flow; see
+        ``poplarstep.opaque_flows.uncertain_agents``.
     is_late : bool
         Whether the flow only gets slots that no other flow waits for; see
         ``poplarstep.opaque_flows.offers``.
@@ -75,12 +83,13 @@
         'reason_by_target', 'may_be_open', 'queue_deadline',
         'opening_received_at', 'round_count', 'looked_up_at',
         'waiting_packets', 'is_late', 'late_deadline', 'copy_due_at',
-        'first_opening_at', 'refusal', 'tie')
+        'first_opening_at', 'refusal', 'tie', 'passed_at_by_agent')
 
     def __init__(self, now):
         self.round_count = 0
         self.looked_up_at = 0
         self.waiting_packets = ()
+        self.passed_at_by_agent = NOT_PASSED
         self.is_late = False
         self.late_deadline = 0
         self.first_opening_at = now
@@ -119,7 +128,10 @@
     configuration and ``outdated`` opening packets dropped after a pause.
     ``surveys`` counts the surveys of all agents, ``survey_messages`` their
     messages, ``surveys_given_up`` flows that no agent held and not all
-    denied, ``dead_flows_reset`` those that all denied.
+    denied, ``dead_flows_reset`` those that all denied, ``uncertain_packets``
+    the packets to agents that may hold their flow, ``survey_delays`` and
+    ``uncertain_delays`` how often flows waited for the budget of questions
+    and of these packets.
     ``tied_offers`` counts flows that were offered to two agents at once;
     ``tied_withdrawn_in_time`` those that only one agent started,
     ``tied_withdrawn_too_late`` those that both started, and
@@ -137,6 +149,7 @@
         'no_target', 'unconfirmed', 'table_full', 'outdated', 'pauses',
         'parked', 'wide_lookups', 'lookup_messages', 'postponed_resets',
         'surveys', 'survey_messages', 'surveys_given_up', 'dead_flows_reset',
+        'uncertain_packets', 'survey_delays', 'uncertain_delays',
         'tied_offers', 'tied_withdrawn_in_time', 'tied_withdrawn_too_late',
         'tied_denied_by_budget', 'tied_denied_by_load', 'load_reports',
         'spill_starts', 'spill_stops', 'packets_to_others', 'bytes_to_others')
@@ -182,7 +195,7 @@
     opening_ms : Histogram
         Times from an opening packet to its acceptance by an agent.
     surveys : SurveyState
-        See ``poplarstep.opaque_flows.surveys``.
+        See ``poplarstep.opaque_flows.pending_flows``.
     """
 
     __slots__ = (
@@ -248,6 +261,6 @@
     """
     return FlowBalancerState(
         catalogue, confirmed, placement, random,
-        survey_state or surveys.make_surveys(), tied_percent,
+        survey_state or pending_flows.make_surveys(), tied_percent,
         locality or localities.make_locality(
             localities.DEFAULT_LOCALITY, ''))
--- a/poplarstep/opaque_flows/lookups.py
+++ b/poplarstep/opaque_flows/lookups.py
@@ -15,16 +15,20 @@
 
 If no candidate has answered by the time at which the caller retransmits, the
 other targets of the service are asked too: the catalogue may have changed
-much since the flow was opened. These wide lookups share a limited rate. Where
-surveys are enabled they take the place of wide lookups, see
-``poplarstep.opaque_flows.surveys``.
+much since the flow was opened. These wide lookups share a limited rate.
+
+All this holds with ``dead-flows`` = ``ignore``. With ``reset`` the flow is
+looked for in the two steps of ``poplarstep.opaque_flows.surveys``; this module
+only chooses the candidates.
 """
 
 from poplarstep.configuration import model
 from poplarstep.opaque_flows import candidates
 from poplarstep.opaque_flows import message
+from poplarstep.opaque_flows import pending_flows
 from poplarstep.opaque_flows import segment as segments
 from poplarstep.opaque_flows import surveys
+from poplarstep.opaque_flows import uncertain_agents
 
 # A flow that no agent holds after as many lookups has ended. Its later packets
 # are dropped, and the caller times out.
@@ -33,7 +37,7 @@
 # one flow that arrive within it wait for the same lookup.
 LOOKUP_TIMEOUT_MS = 150
 # Packets of a flow that wait for a lookup; a caller has at most 16 in flight.
-MAXIMUM_WAITING_PACKETS = 16
+MAXIMUM_WAITING_PACKETS = pending_flows.MAXIMUM_WAITING_PACKETS
 # With as many agents or fewer the packet itself is sent: it is found a round
 # trip earlier.
 MAXIMUM_AGENTS_WITH_PACKET = 4
@@ -45,8 +49,8 @@
 
 def look_up(state, tracked, packet, now):
     r"""Return the effects that look for the agent of a packet's flow."""
-    if surveys.update_packet(state, packet, now):
-        return []
+    if state.surveys.enabled:
+        return _search(state, tracked, packet, now)
     waiting = tracked.waiting_packets
     if waiting and now - tracked.looked_up_at < LOOKUP_TIMEOUT_MS:
         if len(waiting) < MAXIMUM_WAITING_PACKETS:
@@ -61,15 +65,29 @@
     state.counters.finds += 1
     state.counters.lookup_messages += len(agents)
     question = message.FlowLookup(packet)
-    if packet.has_data and state.surveys.enabled:
-        surveys.schedule(state, packet.flow, now + LOOKUP_TIMEOUT_MS)
-        tracked.waiting_packets = (packet,)
     if packet.has_data and len(agents) > MAXIMUM_AGENTS_WITH_PACKET:
         tracked.waiting_packets = (packet,)
         question = message.FlowQuery(packet.flow, packet.acknowledged)
     return [message.ToNode(agent, question) for agent in agents]
 
 
+def _search(state, tracked, packet, now):
+    r"""Keep a packet; if its flow is not looked for yet, start to do so."""
+    flow = packet.flow
+    route = state.catalogue.route_by_address.get(segments.service_of(flow))
+    is_new = flow not in state.surveys.pending_by_flow
+    if route is None or (
+            is_new and tracked.lookup_count >= MAXIMUM_LOOKUPS) or (
+            not pending_flows.add_packet(state, tracked, packet, now)):
+        return []
+    tracked.lookup_count += is_new
+    tracked.looked_up_at = now
+    state.counters.finds += 1
+    services = model.services_of_flows(route)
+    return surveys.ask_candidates(state, packet, _agents(
+        state, services, flow, _lookup_candidates(services)), now)
+
+
 def _agents_to_ask(state, tracked, flow, now):
     r"""Return the agents of a lookup: those of the candidates, or more."""
     route = state.catalogue.route_by_address.get(segments.service_of(flow))
@@ -77,7 +95,7 @@
         return ()
     services = model.services_of_flows(route)
     agents = _agents(state, services, flow, _lookup_candidates(services))
-    if tracked.lookup_count == 0 or state.surveys.enabled or (
+    if tracked.lookup_count == 0 or (
             now - tracked.looked_up_at < LOOKUP_TIMEOUT_MS):
         return agents
     wide = _agents(state, services, flow, MAXIMUM_WIDE_MESSAGES)
@@ -110,26 +128,27 @@
         for target in state.candidates.lookup(service, flow, each)]
 
 
-def found(state, tracked):
-    r"""Return the waiting packets of a flow whose agent is known now."""
-    waiting, tracked.waiting_packets = tracked.waiting_packets, ()
-    state.counters.carried += len(waiting)
-    return [message.ToNode(tracked.agent, packet) for packet in waiting]
-
-
-def uncertain(state, tracked, agent):
+def uncertain(state, tracked, event, now):
     r"""Return the waiting packets for an agent that may hold their flow.
 
-    They go on waiting: another agent may hold the flow.
+    They go on waiting: another agent may hold the flow. With surveys they
+    wait until all agents have answered.
     """
+    if state.surveys.enabled:
+        pending_flows.record_uncertain(
+            state, event.message.flow, event.source, now)
+        return []
     state.counters.lookup_messages += len(tracked.waiting_packets)
     return [
-        message.ToNode(agent, message.FlowLookup(packet))
+        message.ToNode(event.source, message.FlowLookup(packet))
         for packet in tracked.waiting_packets]
 
 
-def drop_outdated(tracked, now):
+def drop_outdated(state, flow, tracked, now):
     r"""Drop the packets of a lookup that no agent has answered in time."""
+    if flow in state.surveys.pending_by_flow:
+        return
+    uncertain_agents.forget_old(tracked, now)
     if tracked.waiting_packets and (
             now - tracked.looked_up_at >= LOOKUP_TIMEOUT_MS):
         tracked.waiting_packets = ()
--- a/poplarstep/opaque_flows/surveys.py
+++ b/poplarstep/opaque_flows/surveys.py
@@ -1,19 +1,23 @@
-r"""Asks all agents about flows that none of their candidates holds.
+r"""Asks agents which of them holds an unknown flow, and resets dead flows.
 
 Explanation
 ===========
 
-A lookup asks few agents. A flow that it does not find was opened before the
-catalogue changed much, or its target has ended. A survey asks the agents of
-all targets of the services that may hold the flow, for many flows in one
-message. It ends in one of two ways:
+The search for the agent of a flow has two steps.
 
-- An agent holds the flow, and gets its packets.
-- All agents deny the flow. It is open nowhere, and its caller, which would
-  wait until its timeout, is reset.
+1. Every agent of the targets of the services that may hold the flow is asked:
+   those of the candidates at once, the others in surveys, which ask for many
+   flows in one message. An agent that holds the flow gets its packets.
+2. When all have answered and none holds the flow, a packet goes to the agents
+   that may hold it (see ``poplarstep.opaque_flows.uncertain_agents``). They
+   are asked again afterwards: the one whose target answered the packet knows
+   the flow now.
+
+A flow that all agents deny is open nowhere. Its caller, which would wait until
+its timeout, is reset. An agent denies a flow if it has seen everything that
+its target received since the target's start, or if its target has returned a
+packet of the flow.
 
-An agent denies a flow if it has seen everything that its target received
-since the target's start, or if its target has returned a packet of the flow.
 An agent that does not answer prevents the reset. So does a configuration that
 was last confirmed before the packet came: it may lack a target that was added
 shortly before. A target whose agent has been silent until the control hosts
@@ -21,189 +25,148 @@
 """
 
 import collections
+import itertools
 import math
 
-from poplarstep.configuration import model
 from poplarstep.core import effect
-from poplarstep.limits import budget
+from poplarstep.opaque_flows import lookup_budget
 from poplarstep.opaque_flows import message
+from poplarstep.opaque_flows import pending_flows
 from poplarstep.opaque_flows import segment as segments
+from poplarstep.opaque_flows import uncertain_agents
 
-# Flows in one message, which then has about 1,000 bytes.
-FLOWS_PER_SURVEY = 48
-# Rounds of questions about a flow; agents that have not answered are asked
-# again.
-MAXIMUM_ROUNDS = 6
+# Flows in one message, which then has 1,341 bytes and fits a packet of 1,500.
+FLOWS_PER_SURVEY = 40
+# Surveys that contain a flow. Agents that have not answered are asked again,
+# at shorter intervals than a restart takes, 0.8 s.
+MAXIMUM_ROUNDS = 12
 FIRST_INTERVAL_MS = 150
-MAXIMUM_INTERVAL_MS = 1200
-# Time between two evaluations of the waiting flows. Flows that arrive
+MAXIMUM_INTERVAL_MS = 600
+# Time between two evaluations of the pending flows. Flows that arrive
 # meanwhile share the messages of the next survey.
 SURVEY_INTERVAL_MS = 40
-# The same rate as that of wide lookups, which surveys replace.
-MESSAGES_PER_S = 200
+# Time between two evaluations of a flow for which no answer has come: while an
+# uncertain agent has a packet, and otherwise.
+CHECK_INTERVAL_MS = 120
+MAXIMUM_CHECK_INTERVAL_MS = 1000
+# Callers repeat a packet after 1.6 s at most. One whose last packet is older
+# than two such intervals has given up or has been answered.
+MAXIMUM_PACKET_AGE_MS = 4000
+# Agents that are asked for one flow at once. Of more, a sample is asked; the
+# others are asked in later rounds.
 MAXIMUM_MESSAGES = 400
-# A caller repeats its packets, so a flow for which there is no room is
-# surveyed later.
-MAXIMUM_PENDING_FLOWS = 4096
-
-
-class PendingFlow:
-    r"""A flow that a survey looks for; times in ms.
-
-    Parameters
-    ==========
-
-    packet : FlowPacket
-        The latest packet with data.
-    arrived_at : int
-        When the first packet came that no candidate took.
-    denied_by : set of Address
-        Agents whose targets do not hold the flow.
-    next_at : int
-        When the next round is due.
-    """
 
-    __slots__ = ('packet', 'arrived_at', 'denied_by', 'rounds', 'next_at')
 
-    def __init__(self, packet, arrived_at, next_at):
-        self.packet = packet
-        self.arrived_at = arrived_at
-        self.denied_by = set()
-        self.rounds = 0
-        self.next_at = next_at
+def ask_candidates(state, packet, agents, now):
+    r"""Return the questions to the agents of a new flow's candidates.
 
-
-class SurveyState:
-    r"""Surveys of a balancer.
-
-    Parameters
-    ==========
-
-    enabled : bool
-        Whether flows are surveyed and reset.
-    confirmed_since : callable
-        Takes ``now``; returns the time, in ms, at which the configuration
-        was current for certain.
-    due_by_flow : dict
-        When a flow that is looked up will be surveyed, earliest first.
-    pending_by_flow : dict
-        The flows that are surveyed now.
+    While other flows wait for the budget, or less than half of it is left,
+    the flow goes straight to the next survey, which takes fewer bytes for
+    many flows and is in the order of arrival.
     """
-
-    __slots__ = (
-        'enabled', 'confirmed_since', 'due_by_flow', 'pending_by_flow',
-        'bucket', 'number', 'evaluate_at')
-
-    def __init__(self, enabled, confirmed_since):
-        self.enabled = enabled
-        self.confirmed_since = confirmed_since
-        self.due_by_flow = {}
-        self.pending_by_flow = {}
-        self.bucket = budget.make_token_bucket(
-            MESSAGES_PER_S, MAXIMUM_MESSAGES, now=0)
-        self.number = 0
-        self.evaluate_at = 0
-
-
-def make_surveys(enabled=False, confirmed_since=lambda now: -math.inf):
-    r"""Return the state of a balancer that surveys no flow yet."""
-    return SurveyState(enabled, confirmed_since)
-
-
-def schedule(state, flow, due_at):
-    r"""Survey a flow at a time unless an agent holds it by then."""
-    if state.surveys.enabled:
-        state.surveys.due_by_flow.setdefault(flow, due_at)
-
-
-def update_packet(state, packet, now):
-    r"""Return whether a packet's flow is surveyed; keep the packet if so."""
-    pending = state.surveys.pending_by_flow.get(packet.flow)
-    if pending is None:
-        return False
-    if packet.has_data:
-        pending.packet = packet
-        pending.next_at = min(pending.next_at, now + FIRST_INTERVAL_MS)
-    return True
-
-
-def forget(state, flow):
-    r"""Stop looking for a flow; return its ``PendingFlow`` or None."""
-    state.surveys.due_by_flow.pop(flow, None)
-    return state.surveys.pending_by_flow.pop(flow, None)
+    surveys = state.surveys
+    pending = surveys.pending_by_flow[packet.flow]
+    size = len(agents) * lookup_budget.QUERY_BYTES
+    if surveys.query_queue or not surveys.query_budget.try_take(
+            size, now, reserve=surveys.query_budget.burst // 2):
+        return []
+    state.counters.lookup_messages += len(agents)
+    pending.asked_at.update(dict.fromkeys(agents, now))
+    query = message.FlowQuery(packet.flow, packet.acknowledged)
+    return [message.ToNode(agent, query) for agent in agents]
 
 
 def due_at(state):
     r"""Return when the surveys need a tick, in ms."""
     surveys = state.surveys
-    if surveys.pending_by_flow:
-        return surveys.evaluate_at
-    for due in surveys.due_by_flow.values():
-        return due
-    return math.inf
+    return surveys.evaluate_at if surveys.pending_by_flow else math.inf
 
 
 def tick(state, now):
-    r"""Start the surveys that are due, and end those that are complete."""
+    r"""Evaluate the pending flows; return messages and resets."""
     surveys = state.surveys
-    _admit_due_flows(state, now)
     if not surveys.pending_by_flow or now < surveys.evaluate_at:
         return []
     surveys.evaluate_at = now + SURVEY_INTERVAL_MS
     effects = []
-    asking = []
     for flow, pending in list(surveys.pending_by_flow.items()):
-        missing = _missing_agents(state, flow, pending)
-        if missing is None or pending.rounds > MAXIMUM_ROUNDS:
-            state.counters.surveys_given_up += 1
-            forget(state, flow)
-        elif _is_open_nowhere(state, pending, missing, now):
-            effects.extend(_reset(state, flow, pending, now))
-        elif missing and now >= pending.next_at:
-            asking.append((flow, pending, missing))
-    return effects + _ask(state, asking[:FLOWS_PER_SURVEY], now)
-
-
-def _admit_due_flows(state, now):
-    surveys = state.surveys
-    while surveys.due_by_flow:
-        flow, due = next(iter(surveys.due_by_flow.items()))
-        if now < due:
-            return
-        del surveys.due_by_flow[flow]
-        tracked = state.tracked_by_flow.get(flow)
-        if tracked is None or tracked.agent is not None:
-            continue
-        packets = [item for item in tracked.waiting_packets if item.has_data]
-        if packets and len(surveys.pending_by_flow) < MAXIMUM_PENDING_FLOWS:
-            surveys.pending_by_flow[flow] = PendingFlow(
-                packets[-1], tracked.looked_up_at, now)
-
-
-def _missing_agents(state, flow, pending):
-    r"""Return the agents that have not denied a flow; None without a route."""
-    route = state.catalogue.route_by_address.get(segments.service_of(flow))
-    if route is None:
-        return None
-    return [
-        target.agent for service in model.services_of_flows(route)
-        for target in state.catalogue.targets_by_service.get(
-            service, {}).values()
-        if target.agent not in pending.denied_by]
+        if pending.tracked.agent is not None or (
+                state.tracked_by_flow.get(flow) is not pending.tracked):
+            # The flow was found otherwise, or opened again.
+            pending_flows.forget(state, flow)
+            effects.extend(pending_flows.found(state, pending.tracked))
+        elif now >= pending.check_at:
+            effects.extend(_check(state, flow, pending, now))
+    effects.extend(_ask(state, now))
+    return effects + uncertain_agents.send(state, now)
+
+
+def _check(state, flow, pending, now):
+    r"""Give up, reset or go on looking for a flow; return the effects."""
+    undecided = pending_flows.undecided_agents(state, flow, pending)
+    if undecided is None or _has_expired(pending, undecided, now):
+        state.counters.surveys_given_up += 1
+        pending_flows.drop(state, flow)
+        return []
+    if not undecided:
+        return _end(state, flow, pending, now)
+    _queue(state, flow, pending, undecided, now)
+    return []
+
 
+def _has_expired(pending, undecided, now):
+    if now - pending.packet_at > MAXIMUM_PACKET_AGE_MS:
+        return True
+    return bool(undecided) and (
+        pending.rounds >= MAXIMUM_ROUNDS and now >= pending.next_at)
 
-def _is_open_nowhere(state, pending, missing, now):
-    return not missing and bool(pending.denied_by) and (
-        state.surveys.confirmed_since(now) >= pending.arrived_at)
 
+def _queue(state, flow, pending, undecided, now):
+    r"""Add a flow to the queues of questions and of packets if it is due.
 
-def _reset(state, flow, pending, now):
-    r"""Reset a flow whose target has ended."""
+    It is checked again when an answer or a packet comes, or something else
+    that it waits for is due.
+    """
+    times = [now + MAXIMUM_CHECK_INTERVAL_MS]
+    unblocked_at = uncertain_agents.unblocked_at(pending, undecided)
+    if now < unblocked_at:
+        times.append(unblocked_at)
+    elif uncertain_agents.recipients(pending, undecided, now):
+        state.surveys.packet_queue.setdefault(flow)
+    if pending.tracked.passed_at_by_agent:
+        times.append(now + CHECK_INTERVAL_MS)
+    if now < pending.next_at:
+        times.append(pending.next_at)
+    elif _unanswered(pending, undecided):
+        state.surveys.query_queue.setdefault(flow)
+    pending.check_at = min(times)
+
+
+def _unanswered(pending, undecided):
+    r"""Return the agents that must be asked."""
+    return uncertain_agents.silent(pending, undecided) + (
+        uncertain_agents.unasked(pending, undecided))
+
+
+def _end(state, flow, pending, now):
+    r"""Reset a flow that all agents deny, once the configuration is confirmed.
+
+    A flow without data is not reset: its packet may be the last one of a
+    flow that has been closed.
+    """
+    if not pending.packet.has_data:
+        pending_flows.drop(state, flow)
+        return []
+    pending.check_at = now + SURVEY_INTERVAL_MS
+    if not pending.denied_by or (
+            state.surveys.confirmed_since(now) < pending.arrived_at):
+        return []
     state.counters.dead_flows_reset += 1
-    forget(state, flow)
+    packet = pending.packet
+    pending_flows.drop(state, flow)
     state.tracked_by_flow.pop(flow, None)
     return [
-        message.ResetFlow(flow, pending.packet.acknowledged),
+        message.ResetFlow(flow, packet.acknowledged),
         effect.LogEvent('dead-flow-reset', (
             ('flow', segments.describe(flow)),
             ('denied_by', len(pending.denied_by)),
@@ -212,60 +175,70 @@
             ('version', state.catalogue.version)))]
 
 
-def _ask(state, asking, now):
-    r"""Send one message about all flows to each agent.
-
-    All flows wait while the messages would exceed the rate. Of more than
-    ``MAXIMUM_MESSAGES`` agents a sample is asked; the others are asked in a
-    later round.
-    """
-    flows_by_agent = collections.defaultdict(list)
-    for flow, pending, missing in asking:
-        for agent in missing:
-            flows_by_agent[agent].append(message.SurveyedFlow(
-                flow, pending.packet.acknowledged))
-    agents = list(flows_by_agent)
-    if len(agents) > MAXIMUM_MESSAGES:
-        agents = state.random.sample(agents, MAXIMUM_MESSAGES)
+def _ask(state, now):
+    r"""Send one message about several flows to each agent."""
     surveys = state.surveys
-    if not agents or not surveys.bucket.try_take(now, tokens=len(agents)):
+    batch, size = _choose_batch(state, now)
+    state.counters.survey_delays += bool(surveys.query_queue)
+    if not batch:
         return []
-    surveys.number += 1
-    state.counters.surveys += 1
-    state.counters.survey_messages += len(agents)
-    for _, pending, _ in asking:
-        pending.rounds += 1
+    flows_by_agent = collections.defaultdict(list)
+    for flow, pending, agents in batch:
+        surveyed = message.SurveyedFlow(flow, pending.packet.acknowledged)
+        for agent in agents:
+            flows_by_agent[agent].append(surveyed)
+            pending.asked_at.setdefault(agent, now)
         pending.next_at = now + min(
             MAXIMUM_INTERVAL_MS, FIRST_INTERVAL_MS * 2 ** pending.rounds)
+        pending.rounds += 1
+        pending.check_at = min(pending.check_at, pending.next_at)
+    surveys.query_budget.try_take(size, now)
+    surveys.number += 1
+    state.counters.surveys += 1
+    state.counters.survey_messages += len(flows_by_agent)
     return [
         message.ToNode(agent, message.FlowSurvey(
-            surveys.number, tuple(flows_by_agent[agent])))
-        for agent in agents]
+            surveys.number, tuple(flows)))
+        for agent, flows in flows_by_agent.items()]
 
 
-def process_reply(state, source, reply, now):
-    r"""Evaluate an agent's answer; return ``(held flows, effects)``.
+def _choose_batch(state, now):
+    r"""Take the flows of the next survey from their queue.
 
-    An agent that may hold a flow gets the flow's packet: its target returns
-    the packet if it does not hold the flow. These messages share the rate of
-    the surveys; what exceeds it is left to a later round.
+    Returns them with the bytes of the messages. They are the first ones for
+    which the budget suffices; none overtakes one for which it does not. If it
+    does not suffice for all of a survey, they wait until half of it is there:
+    a message for each flow alone takes more than twice the bytes.
     """
-    pending_by_flow = state.surveys.pending_by_flow
+    surveys = state.surveys
+    batch, known, entries, size = [], set(), 0, 0
+    for flow in list(itertools.islice(
+            surveys.query_queue, FLOWS_PER_SURVEY)):
+        pending = surveys.pending_by_flow[flow]
+        agents = _unanswered(pending, pending_flows.undecided_agents(
+            state, flow, pending) or ())
+        if len(agents) > MAXIMUM_MESSAGES:
+            agents = state.random.sample(agents, MAXIMUM_MESSAGES)
+        known.update(agents)
+        entries += len(agents)
+        wanted = lookup_budget.survey_bytes(len(known), entries)
+        if not surveys.query_budget.has(wanted, now):
+            if not surveys.query_budget.has(
+                    0, now, surveys.query_budget.burst // 2):
+                return [], 0
+            break
+        size = wanted
+        batch.append((flow, pending, agents))
+    for flow, _, _ in batch:
+        del surveys.query_queue[flow]
+    return [item for item in batch if item[2]], size
+
+
+def process_reply(state, source, reply, now):
+    r"""Record an agent's answer; return the pending flows that it holds."""
     for flow in reply.denied:
-        record_denial(state, flow, source)
-    uncertain = [
-        pending_by_flow[flow] for flow in reply.uncertain
-        if flow in pending_by_flow
-        and source not in pending_by_flow[flow].denied_by
-        and state.surveys.bucket.try_take(now)]
-    state.counters.survey_messages += len(uncertain)
-    return [flow for flow in reply.held if flow in pending_by_flow], [
-        message.ToNode(source, message.FlowLookup(pending.packet))
-        for pending in uncertain]
-
-
-def record_denial(state, flow, agent):
-    r"""Record that the target of an agent does not hold a flow."""
-    pending = state.surveys.pending_by_flow.get(flow)
-    if pending is not None:
-        pending.denied_by.add(agent)
+        pending_flows.record_denial(state, flow, source)
+    for flow in reply.uncertain:
+        pending_flows.record_uncertain(state, flow, source, now)
+    return [
+        flow for flow in reply.held if flow in state.surveys.pending_by_flow]
--- a/poplarstep/programs/settings.py
+++ b/poplarstep/programs/settings.py
@@ -18,6 +18,7 @@
 from poplarstep.core import registry
 from poplarstep.opaque_flows import ejection
 from poplarstep.opaque_flows import locality
+from poplarstep.opaque_flows import lookup_budget
 from poplarstep.opaque_flows import placement
 from poplarstep.routing import selectors
 
@@ -129,6 +130,11 @@
             'whether callers are reset when the target of their flow has '
             'ended; "reset" needs it on all balancers and agents, and targets '
             'that accept TCP connections at their address while they run'),
+    Setting('lookup-rate', 'number', str(lookup_budget.DEFAULT_RATE),
+            'bytes/s', (10_000, 100_000_000), ('flow-balancer',),
+            'limit of the questions for unknown flows, and of the packets '
+            'to agents that may hold them, each; a third of the link of the '
+            'host; only with "dead-flows" = "reset"'),
     Setting('tied-offers', 'number', '0', 'per 100 new flows', (0, 10),
             ('flow-balancer',),
             'limit of the flows that may wait at two agents at once; only '
