Let an agent claim the flows that balancers tell it

Cause: an agent that restarts beside its running target answers "uncertain" about each flow that the target holds, for 60 s.

Change: the message KnownFlows. The agent adds a flow to its table as claimed if it would answer "uncertain" otherwise and the last packet is not older than its target's start; claims are answered with "held". They occupy no slot until the target sends a packet. A claim whose packet the target returns is removed and denied from then on; an offer of the flow ends both.

Ruled out: treating an offer of a claimed flow as a copy (it would pass the limits of a cold or leaving target); removing flows of a full table for claims; claims for a target that does not report its start (an earlier instance can't be told apart).

Nothing sends the message yet.

--- a/poplarstep/edge/tests/test_wire.py
+++ b/poplarstep/edge/tests/test_wire.py
@@ -20,8 +20,9 @@
         'SnapshotReply', 'Standing', 'Target', 'Update', 'VoteReply')),
     (wire.make_flow_codec(), (
         'Carry', 'Find', 'FlowQuery', 'FlowStarted', 'FlowSurvey',
-        'FlowUncertain', 'Held', 'Load', 'LoadReport', 'NotTaken', 'Offer',
-        'OfferWithdrawn', 'Stray', 'SurveyReply', 'SurveyedFlow')),
+        'FlowUncertain', 'Held', 'KnownFlow', 'KnownFlows', 'Load',
+        'LoadReport', 'NotTaken', 'Offer', 'OfferWithdrawn', 'Stray',
+        'SurveyReply', 'SurveyedFlow')),
     (wire.make_command_codec(), (
         'Announce', 'Announcement', 'ChangeService', 'Command',
         'CreateService', 'DataCentre', 'DrainTarget', 'ExpireTargets',
--- a/poplarstep/opaque_flows/agent.py
+++ b/poplarstep/opaque_flows/agent.py
@@ -15,6 +15,7 @@
 poplarstep.opaque_flows.agent_flows : starts, queues and forwards flows.
 poplarstep.opaque_flows.agent_requests : holds requests of open flows.
 poplarstep.opaque_flows.agent_lookups : answers lookups of balancers.
+poplarstep.opaque_flows.claims : flows that balancers tell a restarted agent.
 poplarstep.opaque_flows.presence : heartbeats and announcements.
 poplarstep.opaque_flows.admission : decides whether a flow may start.
 """
@@ -28,6 +29,7 @@
 from poplarstep.opaque_flows import agent_requests
 from poplarstep.opaque_flows import agent_state as states
 from poplarstep.opaque_flows import agent_ties
+from poplarstep.opaque_flows import claims
 from poplarstep.opaque_flows import load_reports
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import pauses
@@ -82,6 +84,7 @@
         state.counters.outdated_offers += 1
         return []
     offered = event.message
+    claims.withdraw(state, offered.flow)
     flow = state.flow_by_key.get(offered.flow)
     if flow is not None and flow.ended_at is None:
         flow.balancer = event.source
@@ -153,6 +156,7 @@
         flow.first_sequence = segment.sequence
     if not flow.answered:
         flow.answered = True
+        flow.claimed = False
         if flow.offer is None:
             # The balancer sent a lookup; from now on it sends packets here.
             effects.append(agent_flows.accepted(
@@ -175,6 +179,7 @@
     if flow is None:
         return []
     del state.flow_by_key[segment.flow]
+    claims.record_return(state, segment.flow, flow)
     state.health.abandon(segment.flow)
     freed = state.occupancy.release(segment.flow, now, answered=False)
     if segment.opening:
@@ -199,7 +204,7 @@
         return now
     due = min(
         pauses.check_due_at(state, now), presence.silence_due_at(state),
-        agent_requests.due_at(state))
+        agent_requests.due_at(state), claims.due_at(state))
     if state.flow_by_key:
         due = min(due, state.next_sweep_at)
     return due
@@ -213,7 +218,7 @@
     load_reports.observe(state, now)
     effects = pauses.detect(state, now)
     state.occupancy.expire(now, REQUEST_TIMEOUT_MS)
-    effects += agent_requests.tick(state, now)
+    effects += agent_requests.tick(state, now) + claims.tick(state, now)
     if state.resumed_at is not None:
         # Answers may still wait in the socket.
         state.health.forget_awaited()
--- a/poplarstep/opaque_flows/agent_lookups.py
+++ b/poplarstep/opaque_flows/agent_lookups.py
@@ -59,10 +59,12 @@
     r"""Return whether this agent knows that the target got the flow.
 
     A flow of which this agent has only passed a packet on may be at another
-    target; its own target then returns the packet.
+    target; its own target then returns the packet. A claimed flow is answered
+    like one that is known for certain.
     """
     flow = state.flow_by_key.get(key)
-    return flow is not None and (flow.offer is not None or flow.answered)
+    return flow is not None and (
+        flow.claimed or flow.offer is not None or flow.answered)
 
 
 def _may_hold_unknown_flow(state, flow, now):
@@ -71,7 +73,7 @@
     An earlier run of this agent may have started it, or it was removed from a
     full table.
     """
-    if target_probe.has_ended(state):
+    if target_probe.has_ended(state) or flow in state.claims.returned:
         return False
     if state.target is None or (
             now - state.table_full_at <= state.flow_limit_ms):
@@ -81,6 +83,11 @@
     return started_before and _was_offered_to_service(state, flow)
 
 
+# Used by ``poplarstep.opaque_flows.claims``, which registers a handler too.
+knows_flow = _holds
+may_hold_unknown_flow = _may_hold_unknown_flow
+
+
 def _was_offered_to_service(state, flow):
     r"""Return whether the flow's route belongs or belonged to the target.
 
--- a/poplarstep/opaque_flows/agent_state.py
+++ b/poplarstep/opaque_flows/agent_state.py
@@ -51,12 +51,15 @@
         The target has sent data since the latest request began.
     is_reused : bool
         The flow has carried more than one request, as far as known.
+    claimed : bool
+        A balancer says that the target holds the flow, and the target has not
+        sent a packet of it yet; see ``poplarstep.opaque_flows.claims``.
     """
 
     __slots__ = (
         'balancer', 'offer', 'answered', 'ended_at', 'last_used',
         'first_sequence', 'acknowledged', 'tie', 'caller_sequence',
-        'awaits_request', 'is_reused')
+        'awaits_request', 'is_reused', 'claimed')
 
     def __init__(self, balancer, offer, now):
         self.balancer = balancer
@@ -70,6 +73,32 @@
         self.caller_sequence = segments.NO_SEQUENCE_NUMBER
         self.awaits_request = False
         self.is_reused = False
+        self.claimed = False
+
+
+class ClaimState:
+    r"""Claims of an agent; see ``poplarstep.opaque_flows.claims``.
+
+    Parameters
+    ==========
+
+    accepted : int
+        Claims in this run of the agent.
+    returned : set of bytes
+        Claimed flows of which the target returned a packet.
+    log_at : int or float
+        When the number of claims is logged, in ms.
+    is_logged : bool
+        Whether it has been logged.
+    """
+
+    __slots__ = ('accepted', 'returned', 'log_at', 'is_logged')
+
+    def __init__(self):
+        self.accepted = 0
+        self.returned = set()
+        self.log_at = math.inf
+        self.is_logged = False
 
 
 class FlowAgentCounters:
@@ -89,7 +118,9 @@
     ``held_copies`` copies of their packets, ``held_overflow`` packets that
     did not wait because the queue was full, ``held_released`` requests that
     were forwarded before a slot was free, and ``held_expired`` dropped ones.
-    ``load_reports`` the loads sent without an offer.
+    ``load_reports`` counts the loads sent without an offer,
+    ``flows_claimed`` flows that balancers told this agent after its start, and
+    ``claims_returned`` those of them that the target did not hold.
     """
 
     __slots__ = (
@@ -99,7 +130,7 @@
         'outdated_offers', 'pauses', 'surveyed', 'dead_flows_reset', 'probes',
         'offers_withdrawn', 'withdrawn_too_late', 'reservations_released',
         'held_requests', 'held_copies', 'held_overflow', 'held_released',
-        'held_expired', 'load_reports')
+        'held_expired', 'load_reports', 'flows_claimed', 'claims_returned')
 
     def __init__(self):
         for name in self.__slots__:
@@ -154,6 +185,8 @@
         Whether callers are reset when the target of their flow has ended.
     demand : Demand
         How busy the target is, and which balancers know it.
+    claims : ClaimState
+        Flows that balancers told this agent after its start.
     back_in_service_at : int or None
         When the data centre came back into service; None once a later
         heartbeat has arrived.
@@ -168,7 +201,7 @@
         'back_in_service_at', 'started_unix_ms', 'counters',
         'next_sweep_at', 'queue_ms', 'last_tick_at', 'resumed_at',
         'table_full_at', 'resets_dead_flows', 'probe', 'withdrawal_by_flow',
-        'health', 'demand')
+        'health', 'demand', 'claims')
 
     def __init__(self, settings, catalogue, incarnation, now):
         self.node = settings['node']
@@ -189,6 +222,7 @@
         self.queue = request_queue.make_request_queue(
             settings['request-queue'])
         self.withdrawal_by_flow = collections.OrderedDict()
+        self.claims = ClaimState()
         self.health = target_health.make_target_health()
         self.demand = demand.make_demand(
             settings['load-reports'] == 'on', now)
--- a/poplarstep/opaque_flows/message.py
+++ b/poplarstep/opaque_flows/message.py
@@ -259,6 +259,28 @@
         self.denied = denied
 
 
+class KnownFlow(record.Record):
+    r"""A flow that an agent accepted in an earlier run.
+
+    ``idle_ms`` is the time since its last packet at the balancer.
+    """
+
+    __slots__ = ('flow', 'idle_ms')
+
+    def __init__(self, flow: bytes, idle_ms: int):
+        self.flow = flow
+        self.idle_ms = idle_ms
+
+
+class KnownFlows(record.Record):
+    r"""Notice to a restarted agent: flows that its target should hold."""
+
+    __slots__ = ('flows',)
+
+    def __init__(self, flows: tuple[KnownFlow, ...]):
+        self.flows = flows
+
+
 class LoadReport(record.Record):
     r"""Load of an agent's target, sent without an offer."""
 
@@ -292,7 +314,8 @@
 
 
 TO_AGENT = (
-    Offer, FlowPacket, FlowLookup, FlowQuery, FlowSurvey, OfferWithdrawn)
+    Offer, FlowPacket, FlowLookup, FlowQuery, FlowSurvey, OfferWithdrawn,
+    KnownFlows)
 TO_BALANCER = (
     FlowAccepted, FlowRejected, ReturnedPacket, FlowUncertain, SurveyReply,
     LoadReport, FlowStarted)
--- a/poplarstep/opaque_flows/presence.py
+++ b/poplarstep/opaque_flows/presence.py
@@ -71,6 +71,7 @@
 def _forget_flows(state, now):
     r"""Forget all flows of a target that has ended."""
     state.flow_by_key.clear()
+    state.claims.returned.clear()
     state.occupancy.clear()
     state.health.restart()
     state.demand.clear()
