Tell a restarted agent the flows that a balancer knows

Change: with known-flows = send, a balancer that sees a later incarnation of a target at the same agent address looks through its flow table, 2,000 entries a tick, and sends the agent its flows, one message of up to 39 flows a tick, and again after 500 ms. Counter known_flows_sent, log line known-flows-sent.

Ruled out: messages of 64 flows (1,800 bytes, fragmented); an index of flows by agent (costs for each flow, not for each restart); sending all at once (4,096 flows are 120 KB, most of a second of a link of 1.5 Mbit/s).

Run: the first test of test_known_flows.py failed before the change (the agent answered FlowUncertain) and passes now.

--- a/poplarstep/opaque_flows/assembly.py
+++ b/poplarstep/opaque_flows/assembly.py
@@ -10,6 +10,7 @@
 from poplarstep.opaque_flows import balancer_state
 from poplarstep.opaque_flows import crossings
 from poplarstep.opaque_flows import ejection
+from poplarstep.opaque_flows import known_flows
 from poplarstep.opaque_flows import locality
 from poplarstep.opaque_flows import placement
 from poplarstep.opaque_flows import presence
@@ -59,6 +60,8 @@
             settings['locality'], settings['data-centre']))
     flow_balancer.placement.ejection = ejection.make_ejection(
         settings['avoid-failing'], catalogue)
+    flow_balancer.known_flows = known_flows.make_known_flows(
+        settings.get('known-flows') == 'send')
     steps = [
         (subscriber.SUBSCRIBER, subscriber_state),
         (publisher.PUBLISHER, publisher_state),
--- a/poplarstep/opaque_flows/balancer.py
+++ b/poplarstep/opaque_flows/balancer.py
@@ -20,6 +20,7 @@
 from poplarstep.core import timer
 from poplarstep.dissemination import message as dissemination
 from poplarstep.opaque_flows import early_openings
+from poplarstep.opaque_flows import known_flows
 from poplarstep.opaque_flows import lookups
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import offers
@@ -268,7 +269,9 @@
     """
     if state.early_opening_by_flow:
         return now
-    due = min(pauses.check_due_at(state, now), surveys.due_at(state))
+    due = min(
+        pauses.check_due_at(state, now), surveys.due_at(state),
+        known_flows.due_at(state))
     if state.tracked_by_flow:
         due = min(due, state.next_sweep_at)
     for tracked in state.offered_by_flow.values():
@@ -295,6 +298,7 @@
         if now >= retry_at:
             effects.extend(offers.start_round(state, flow, now))
     effects.extend(surveys.tick(state, now))
+    effects.extend(known_flows.tick(state, now))
     if now >= state.next_sweep_at:
         state.next_sweep_at = now + SWEEP_INTERVAL_MS
         _sweep(state, now)
@@ -338,11 +342,13 @@
     r"""Remove the estimates of targets that no longer exist.
 
     Opening packets that came before the configuration are offered now.
+    Agents that have restarted are told their flows with the next ticks.
     """
     state.placement.retain(state.catalogue.target_by_number)
     state.placement.ejection.retain(state.catalogue.target_by_number, now)
     state.placement.groups.retain(state.catalogue.service_by_number)
     state.locality.retain(state.catalogue.service_by_number)
+    known_flows.catalogue_changed(state)
     return _offer_early_openings(state, now)
 
 
--- a/poplarstep/opaque_flows/balancer_state.py
+++ b/poplarstep/opaque_flows/balancer_state.py
@@ -5,6 +5,7 @@
 from poplarstep.core import histogram
 from poplarstep.limits import budget
 from poplarstep.opaque_flows import agent_index
+from poplarstep.opaque_flows import known_flows
 from poplarstep.opaque_flows import locality as localities
 from poplarstep.opaque_flows import lookups
 from poplarstep.opaque_flows import surveys
@@ -128,7 +129,8 @@
     ``load_reports`` counts the loads that agents sent without an offer,
     ``spill_starts`` and ``spill_stops`` changes of whether a service spills
     over to other data centres, ``packets_to_others`` and ``bytes_to_others``
-    the packets to agents in these and their lengths.
+    the packets to agents in these and their lengths. ``known_flows_sent``
+    counts the flows that restarted agents were told, without repetitions.
     """
 
     __slots__ = (
@@ -139,7 +141,8 @@
         'surveys', 'survey_messages', 'surveys_given_up', 'dead_flows_reset',
         'tied_offers', 'tied_withdrawn_in_time', 'tied_withdrawn_too_late',
         'tied_denied_by_budget', 'tied_denied_by_load', 'load_reports',
-        'spill_starts', 'spill_stops', 'packets_to_others', 'bytes_to_others')
+        'spill_starts', 'spill_stops', 'packets_to_others', 'bytes_to_others',
+        'known_flows_sent')
 
     def __init__(self):
         for name in self.__slots__:
@@ -183,6 +186,8 @@
         Times from an opening packet to its acceptance by an agent.
     surveys : SurveyState
         See ``poplarstep.opaque_flows.surveys``.
+    known_flows : KnownFlowsState
+        See ``poplarstep.opaque_flows.known_flows``.
     """
 
     __slots__ = (
@@ -190,13 +195,15 @@
         'offered_by_flow', 'retry_at_by_flow', 'counters', 'next_sweep_at',
         'last_tick_at', 'resumed_at', 'opening_ms', 'candidates',
         'wide_lookups', 'early_opening_by_flow', 'late_blocked_until',
-        'surveys', 'tie_limits', 'agents', 'locality', 'traffic')
+        'surveys', 'tie_limits', 'agents', 'locality', 'traffic',
+        'known_flows')
 
     def __init__(
             self, catalogue, confirmed, placement, random, survey_state,
             tied_percent, locality):
         self.catalogue = catalogue
         self.surveys = survey_state
+        self.known_flows = known_flows.make_known_flows()
         self.locality = locality
         self.candidates = locality.make_index(catalogue)
         self.agents = agent_index.AgentIndex(catalogue)
--- a/poplarstep/programs/settings.py
+++ b/poplarstep/programs/settings.py
@@ -133,6 +133,10 @@
             ('flow-balancer',),
             'limit of the flows that may wait at two agents at once; only '
             'flows of idempotent routes do'),
+    Setting('known-flows', 'word', 'off', '', ('off', 'send'),
+            ('flow-balancer',),
+            'whether to tell a restarted agent which opaque flows its target '
+            'holds; for flows that stay open for many requests'),
     Setting('avoid-failing', 'word', ejection.DEFAULT_AVOIDANCE, '',
             tuple(ejection.AVOIDANCES.names()), ('flow-balancer',),
             'whether to send few new opaque flows to targets that fail their '
