--- a/poplarstep/opaque_flows/claims.py
+++ b/poplarstep/opaque_flows/claims.py
@@ -24,8 +24,8 @@
 from poplarstep.opaque_flows import agent_state as states
 from poplarstep.opaque_flows import message
 
-# In one run of the agent. 30 balancers with 130 flows each reach it; a claim
-# takes some 300 bytes.
+# In one run of the agent. With 30 balancers, each can tell it 136 flows. A
+# claim takes 264 bytes of memory, so all of them 1 MB.
 MAXIMUM_CLAIMS = 4096
 # The agent logs the number of claims once, when all balancers have told it:
 # they have the configuration with the new incarnation within 4 s, and repeat
