Import aioprometheus at the first scrape

Cause: every process imported aioprometheus at its start, with orjson and other modules, although it serves without them.

Change: edge/exposition.py holds the gauges and is the only module that imports aioprometheus. The exporter imports it at the first scrape, in a thread of gevent's pool, so that the data path goes on meanwhile.

Ruled out: an import in the greenlet of the scrape.

--- a/poplarstep/edge/metrics.py
+++ b/poplarstep/edge/metrics.py
@@ -7,9 +7,7 @@
 costs about 7 us. A scrape copies the integers into aioprometheus metrics.
 """
 
-import aioprometheus
-
-from poplarstep.edge import web
+import gevent
 
 
 class Exporter:
@@ -22,13 +20,12 @@
         Labels of every metric, such as node and role.
     """
 
-    __slots__ = ('registry', 'labels', 'sources', 'metric_by_name')
+    __slots__ = ('exposition', 'labels', 'sources')
 
     def __init__(self, labels):
-        self.registry = aioprometheus.Registry()
+        self.exposition = None
         self.labels = labels
         self.sources = []
-        self.metric_by_name = {}
 
     def add_counters(self, prefix, counters):
         r"""Export every slot of an object as ``poplarstep_PREFIX_NAME``."""
@@ -50,17 +47,18 @@
 
     def reply(self):
         r"""Return the HTTP reply of a scrape."""
+        if self.exposition is None:
+            # A thread imports the module, because on a busy host the import
+            # would hold up the packets of this process for tens of ms.
+            exposition = gevent.get_hub().threadpool.apply(_import_exposition)
+            # Another scrape may have made one during the import.
+            self.exposition = self.exposition or exposition.make_exposition()
         for name, labels, value in self.values():
-            self._metric(name).set({**self.labels, **labels}, value)
-        return web.metrics_reply(self.registry)
-
-    def _metric(self, name):
-        metric = self.metric_by_name.get(name)
-        if metric is None:
-            # The type is gauge because values are set, not added; a restart
-            # resets them to 0.
-            metric = aioprometheus.Gauge(
-                'poplarstep_' + name, name.replace('_', ' '),
-                registry=self.registry)
-            self.metric_by_name[name] = metric
-        return metric
+            self.exposition.set(name, {**self.labels, **labels}, value)
+        return self.exposition.reply()
+
+
+def _import_exposition():
+    # Not needed before the first scrape; aioprometheus loads asyncio and ssl.
+    from poplarstep.edge import exposition
+    return exposition
--- a/poplarstep/edge/web.py
+++ b/poplarstep/edge/web.py
@@ -7,7 +7,6 @@
 from urllib import parse
 
 from absl import logging
-import aioprometheus
 from gevent import pywsgi
 from returns import result
 
@@ -132,13 +131,6 @@
     return Reply(code, json.dumps(value).encode())
 
 
-def metrics_reply(registry, accept='text/plain'):
-    r"""Return the metrics of an aioprometheus registry."""
-    content, headers = aioprometheus.render(registry, [accept])
-    return Reply(200, content, headers.get(
-        'Content-Type', headers.get('content-type', 'text/plain')))
-
-
 def serve(bound, routes):
     r"""Start serving; return ``Success(server)`` or ``Failure(message)``."""
     server = pywsgi.WSGIServer(
