Start HTTP servers without a look-up of their name

Cause: gevent's HTTP server looks up the name of its address when it starts and no SERVER_NAME is given. That starts gevent's resolver with a native thread, loads some 20 modules (encodings.idna, unicodedata, concurrent.futures) and waits for the name server, before the node's sockets are read.

Change: SERVER_NAME is the IP address. No handler reads it.

--- a/poplarstep/edge/tests/test_web.py
+++ b/poplarstep/edge/tests/test_web.py
@@ -33,3 +33,14 @@
         server.stop()
         assert waits and not any(waits)
         assert client.recv(4096) == b''
+
+
+def test_a_server_starts_without_a_look_up_of_its_name(monkeypatch):
+    """Guards against a start that waits for a name server."""
+    looked_up = []
+    monkeypatch.setattr(
+        socket, 'getfqdn', lambda ip: looked_up.append(ip) or 'host')
+    server = web.serve(BOUND, web.Routes()).unwrap()
+    server.stop()
+    assert looked_up == []
+    assert server.environ['SERVER_NAME'] == BOUND.ip
--- a/poplarstep/edge/web.py
+++ b/poplarstep/edge/web.py
@@ -133,8 +133,11 @@
 
 def serve(bound, routes):
     r"""Start serving; return ``Success(server)`` or ``Failure(message)``."""
+    # Without a name the server looks up that of its address, in a thread of
+    # gevent's resolver; the start would wait for a slow name server.
     server = pywsgi.WSGIServer(
-        (bound.ip, bound.port), routes, log=None, spawn=MAXIMUM_CONNECTIONS)
+        (bound.ip, bound.port), routes, log=None, spawn=MAXIMUM_CONNECTIONS,
+        environ={'SERVER_NAME': bound.ip})
     server.stop_timeout = STOP_TIMEOUT_S
     try:
         server.start()
