Load fewer modules before a node serves

Cause: the start of a process is nearly all imports, and most of what was imported is not used by the role or not before serving.

--- a/benchmarks/packets.py
+++ b/benchmarks/packets.py
@@ -32,7 +32,7 @@
 from poplarstep.edge import wire
 from poplarstep.flow import packet
 from poplarstep.flow import token
-from poplarstep.opaque_flows import assembly as flow_assembly
+from poplarstep.opaque_flows import balancer_assembly as flow_assembly
 from poplarstep.opaque_flows import offers
 from poplarstep.opaque_flows import segment as segments
 from poplarstep.programs import balancer as balancers
--- a/poplarstep/opaque_flows/agent_flows.py
+++ b/poplarstep/opaque_flows/agent_flows.py
@@ -8,7 +8,7 @@
 from poplarstep.opaque_flows import agent_state as states
 from poplarstep.opaque_flows import agent_ties
 from poplarstep.opaque_flows import message
-from poplarstep.opaque_flows import offers
+from poplarstep.opaque_flows import objectives
 from poplarstep.opaque_flows import request_queue
 from poplarstep.opaque_flows import segment as segments
 
@@ -61,7 +61,7 @@
         segments.service_of(offered.flow))
     # The wait limit leaves the other part of the objective.
     other_part_ms = 0 if route is None else int(
-        (1 - offers.QUEUE_FRACTION) * request_queue.objective_ms(route))
+        (1 - objectives.QUEUE_FRACTION) * request_queue.objective_ms(route))
     state.queue.add_offer(request_queue.QueuedOffer(
         balancer, offered, now, now + offered.wait_limit_ms + other_part_ms))
     return [accepted(state, balancer, offered.flow)]
--- a/poplarstep/opaque_flows/assembly.py
+++ b/poplarstep/opaque_flows/balancer_assembly.py
@@ -1,23 +1,19 @@
-r"""Builds the pipelines of opaque flows, for every packet front end."""
+r"""Builds the balancer of opaque flows, for every packet front end."""
 
 from poplarstep.configuration import catalogue as catalogues
 from poplarstep.core import stage
 from poplarstep.dissemination import publisher
 from poplarstep.dissemination import subscriber
-from poplarstep.opaque_flows import agent as agents
-from poplarstep.opaque_flows import agent_state
 from poplarstep.opaque_flows import balancer as balancers
 from poplarstep.opaque_flows import balancer_state
 from poplarstep.opaque_flows import crossings
 from poplarstep.opaque_flows import ejection
 from poplarstep.opaque_flows import locality
 from poplarstep.opaque_flows import placement
-from poplarstep.opaque_flows import presence
 from poplarstep.opaque_flows import surveys
 
 # Modules whose ``TICK`` events the program must send to the pipeline.
-BALANCER_TICKING = (subscriber, publisher, balancers)
-AGENT_TICKING = (subscriber, agents)
+TICKING = (subscriber, publisher, balancers)
 
 
 def make_balancer(settings, incarnation, generator, now):
@@ -67,18 +63,3 @@
     if flow_balancer.traffic is not None:
         steps.append((crossings.CROSSINGS, flow_balancer.traffic))
     return stage.Pipeline(steps), subscriber_state, flow_balancer
-
-
-def make_agent(settings, incarnation, now):
-    r"""Return ``(Pipeline, SubscriberState, FlowAgentState)``."""
-    catalogue = catalogues.Catalogue()
-    subscriber_state = subscriber.make_subscriber(
-        settings['node'], 'agent', incarnation, catalogue,
-        settings['upstreams'])
-    flow_agent = agent_state.make_flow_agent(
-        settings, catalogue, incarnation, now)
-    return stage.Pipeline([
-        (presence.PRESENCE, flow_agent),
-        (subscriber.SUBSCRIBER, subscriber_state),
-        (agents.AGENT, flow_agent),
-    ]), subscriber_state, flow_agent
--- a/poplarstep/opaque_flows/offers.py
+++ b/poplarstep/opaque_flows/offers.py
@@ -23,6 +23,7 @@
 from poplarstep.opaque_flows import balancer_state as states
 from poplarstep.opaque_flows import locality
 from poplarstep.opaque_flows import message
+from poplarstep.opaque_flows import objectives
 from poplarstep.opaque_flows import refusals
 from poplarstep.opaque_flows import segment as segments
 from poplarstep.opaque_flows import tied_offers
@@ -34,9 +35,6 @@
 # Callers retransmit an opening packet after 200 and 600 ms, and give up after
 # this time.
 CALLER_OPEN_TIMEOUT_MS = 1400
-# Part of a route's latency objective that a new flow may spend in queues.
-# Without this bound an overloaded target would answer all requests late.
-QUEUE_FRACTION = 0.5
 # Late flows are not offered for as long after an overload.
 LATE_BLOCKED_MS = 200
 # Time between two rounds of offers of a flow.
@@ -105,7 +103,7 @@
     tracked.opening_deadline = received_at + min(
         CALLER_OPEN_TIMEOUT_MS, route.timeout_ms)
     objective_ms = route.objective_ms or route.timeout_ms
-    objective_part_ms = int(QUEUE_FRACTION * objective_ms)
+    objective_part_ms = int(objectives.QUEUE_FRACTION * objective_ms)
     tracked.queue_deadline = received_at + objective_part_ms
     tracked.late_deadline = received_at + min(
         CALLER_OPEN_TIMEOUT_MS, route.timeout_ms - objective_part_ms)
--- a/poplarstep/opaque_flows/tests/test_locality.py
+++ b/poplarstep/opaque_flows/tests/test_locality.py
@@ -9,8 +9,8 @@
 from poplarstep.core import address
 from poplarstep.core import effect
 from poplarstep.core import timer
-from poplarstep.opaque_flows import assembly
 from poplarstep.opaque_flows import balancer
+from poplarstep.opaque_flows import balancer_assembly
 from poplarstep.opaque_flows import balancer_state
 from poplarstep.opaque_flows import candidates
 from poplarstep.opaque_flows import crossings
@@ -310,7 +310,7 @@
 @pytest.mark.parametrize('name, stages', [('none', 3), ('prefer', 4)])
 def test_packets_are_counted_only_if_the_setting_is_on(name, stages):
     """Guards against a cost for balancers without the setting."""
-    pipeline, _, state = assembly.make_balancer({
+    pipeline, _, state = balancer_assembly.make_balancer({
         'node': 'b', 'upstreams': (fixtures.BALANCER,),
         'without-control': 'serve', 'placement': 'two-choices',
         'locality': name, 'data-centre': 'maadi', 'dead-flows': 'ignore',
--- a/poplarstep/programs/flow_agent.py
+++ b/poplarstep/programs/flow_agent.py
@@ -12,13 +12,13 @@
 from poplarstep.edge import plain_format
 from poplarstep.edge import target_probe
 from poplarstep.edge import wire
+from poplarstep.opaque_flows import agent_assembly
 from poplarstep.opaque_flows import agent_state
-from poplarstep.opaque_flows import assembly
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import presence
 from poplarstep.opaque_flows import target
 from poplarstep.opaque_flows import target_probe as probes
-from poplarstep.programs import flow_balancer
+from poplarstep.programs import flow_sockets
 from poplarstep.programs import node as nodes
 from poplarstep.programs import pending_requests
 from poplarstep.programs import target_interface
@@ -42,16 +42,16 @@
     links = nodes.open_links(node)
     front = datagrams.open_datagram_socket(
         settings['agent-address'],
-        flow_balancer.make_node_decoder(flow_codec, message.TO_AGENT))
+        flow_sockets.make_node_decoder(flow_codec, message.TO_AGENT))
     outbound = datagrams.open_datagram_socket(
         settings['outbound-address'], make_target_decoder(packet_format))
     for opened in (links, front, outbound):
         if isinstance(opened, result.Failure):
             return opened
     front, outbound, links = front.unwrap(), outbound.unwrap(), links.unwrap()
-    pipeline, subscriber_state, flow_agent = assembly.make_agent(
+    pipeline, subscriber_state, flow_agent = agent_assembly.make_agent(
         settings, nodes.new_incarnation(), clock.now_ms())
-    nodes.schedule_ticks(node, *assembly.AGENT_TICKING)
+    nodes.schedule_ticks(node, *agent_assembly.TICKING)
     node.exporter.add_counters('hold', flow_agent.counters)
     node.exporter.add_counters('target_health', flow_agent.health.counters)
     node.exporter.add_values(lambda: _load_rows(flow_agent))
@@ -103,7 +103,7 @@
             target_address, item.datagram),
         message.ToCaller: lambda item: front.send(
             packet_format.caller_address(item.flow), item.datagram),
-        message.ResetFlow: flow_balancer.make_reset_performer(
+        message.ResetFlow: flow_sockets.make_reset_performer(
             packet_format, front),
         target.HeartbeatReply: pending.reply,
     }
--- a/poplarstep/programs/flow_balancer.py
+++ b/poplarstep/programs/flow_balancer.py
@@ -8,17 +8,17 @@
 
 from returns import result
 
-from poplarstep.core import address
 from poplarstep.core import effect
 from poplarstep.dissemination import subscriber
 from poplarstep.edge import clock
 from poplarstep.edge import datagrams
 from poplarstep.edge import plain_format
 from poplarstep.edge import wire
-from poplarstep.opaque_flows import assembly
+from poplarstep.opaque_flows import balancer_assembly
 from poplarstep.opaque_flows import explanations
 from poplarstep.opaque_flows import message
 from poplarstep.programs import explain_interface
+from poplarstep.programs import flow_sockets
 from poplarstep.programs import node as nodes
 from poplarstep.programs import pending_requests
 
@@ -48,14 +48,16 @@
         front_socket)
     back = datagrams.open_datagram_socket(
         settings['back-address'],
-        make_node_decoder(flow_codec, message.TO_BALANCER))
+        flow_sockets.make_node_decoder(flow_codec, message.TO_BALANCER))
     for opened in (links, front, back):
         if isinstance(opened, result.Failure):
             return opened
     front, back, links = front.unwrap(), back.unwrap(), links.unwrap()
-    pipeline, subscriber_state, flow_balancer = assembly.make_balancer(
-        settings, nodes.new_incarnation(), random.Random(), clock.now_ms())
-    nodes.schedule_ticks(node, *assembly.BALANCER_TICKING)
+    pipeline, subscriber_state, flow_balancer = (
+        balancer_assembly.make_balancer(
+            settings, nodes.new_incarnation(), random.Random(),
+            clock.now_ms()))
+    nodes.schedule_ticks(node, *balancer_assembly.TICKING)
     node.exporter.add_counters('steering', flow_balancer.counters)
     node.exporter.add_counters(
         'ejection', flow_balancer.placement.ejection.counters)
@@ -99,37 +101,12 @@
     return decode
 
 
-def make_node_decoder(flow_codec, expected):
-    r"""Return the decoder of other nodes' messages about flows.
-
-    ``expected`` holds the types of message that the socket accepts.
-    """
-    def decode(source, data):
-        item = flow_codec.read(data)
-        if type(item) is result.Failure:
-            return item
-        if type(item) not in expected:
-            return result.Failure(
-                '%s is not expected on this socket' % type(item).__name__)
-        return message.FromNode(address.Address(*source), item)
-    return decode
-
-
 def make_performers(packet_format, flow_codec, front, back, links):
     r"""Return the performers of a balancer, by type of effect."""
     return {
         effect.SendControl: links.send,
         message.ToNode: lambda item: back.send(
             item.destination, flow_codec.encode(item.message)),
-        message.ResetFlow: make_reset_performer(packet_format, front),
+        message.ResetFlow: flow_sockets.make_reset_performer(
+            packet_format, front),
     }
-
-
-def make_reset_performer(packet_format, front):
-    r"""Return the performer of ``ResetFlow`` on a socket to callers."""
-    def reset_flow(item):
-        front.send(
-            packet_format.caller_address(item.flow),
-            packet_format.make_reset(item.flow, max(0, item.acknowledged)))
-
-    return reset_flow
