--- a/poplarstep/edge/web.py
+++ b/poplarstep/edge/web.py
@@ -7,7 +7,6 @@
 from urllib import parse
 
 from absl import logging
-import aioprometheus
 from gevent import pywsgi
 from returns import result
 
@@ -132,17 +131,13 @@
     return Reply(code, json.dumps(value).encode())
 
 
-def metrics_reply(registry, accept='text/plain'):
-    r"""Return the metrics of an aioprometheus registry."""
-    content, headers = aioprometheus.render(registry, [accept])
-    return Reply(200, content, headers.get(
-        'Content-Type', headers.get('content-type', 'text/plain')))
-
-
 def serve(bound, routes):
     r"""Start serving; return ``Success(server)`` or ``Failure(message)``."""
+    # Without a name the server looks up that of its address, in a thread of
+    # gevent's resolver; the start would wait for a slow name server.
     server = pywsgi.WSGIServer(
-        (bound.ip, bound.port), routes, log=None, spawn=MAXIMUM_CONNECTIONS)
+        (bound.ip, bound.port), routes, log=None, spawn=MAXIMUM_CONNECTIONS,
+        environ={'SERVER_NAME': bound.ip})
     server.stop_timeout = STOP_TIMEOUT_S
     try:
         server.start()
--- a/poplarstep/opaque_flows/tests/test_known_flows.py
+++ b/poplarstep/opaque_flows/tests/test_known_flows.py
@@ -10,8 +10,8 @@
 from poplarstep.core import timer
 from poplarstep.dissemination import message as dissemination
 from poplarstep.edge import wire
-from poplarstep.opaque_flows import assembly
 from poplarstep.opaque_flows import balancer
+from poplarstep.opaque_flows import balancer_assembly
 from poplarstep.opaque_flows import known_flows
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import offers
@@ -23,7 +23,7 @@
 
 def make_balancer(known_flows='send', flows=(fixtures.FLOW,), agent=AGENT):
     """Return a balancer that has forwarded flows to an agent."""
-    _, subscribed, state = assembly.make_balancer({
+    _, subscribed, state = balancer_assembly.make_balancer({
         'node': 'b', 'upstreams': (fixtures.BALANCER,),
         'without-control': 'serve', 'placement': 'two-choices',
         'locality': 'none', 'data-centre': 'maadi', 'dead-flows': 'ignore',
