Send packets to the agents of likely candidates first

Cause: after a kill of all processes beside running targets every agent is uncertain, and a packet of each open flow went to all of them, 15 to 20 KB a flow. Change: the agents of the flow's first candidates get the packet first, the others when these targets have returned it or after 250 ms. The bytes that may follow are limited to 1.5 s of the budget, below the 2 s of invariant 1. Ruled out: one agent after the other (a round trip each, up to 65); a limit on the number of flows instead of bytes (packets differ by a factor of ten).

--- a/poplarstep/opaque_flows/lookup_budget.py
+++ b/poplarstep/opaque_flows/lookup_budget.py
@@ -13,6 +13,8 @@
 
 # A third of the slowest link, 1.5 Mbit/s.
 DEFAULT_RATE = 62_500
+# Range of the setting, in bytes/s.
+MINIMUM_RATE, MAXIMUM_RATE = 10_000, 100_000_000
 # Upper bounds of encoded messages with the headers of UDP and IP (28 bytes);
 # a test compares them with the codec.
 QUERY_BYTES = 60
--- a/poplarstep/opaque_flows/lookups.py
+++ b/poplarstep/opaque_flows/lookups.py
@@ -84,6 +84,9 @@
     tracked.looked_up_at = now
     state.counters.finds += 1
     services = model.services_of_flows(route)
+    state.surveys.pending_by_flow[flow].likely = frozenset(_agents(
+        state, services, flow,
+        candidates.OFFERED_CANDIDATES * len(services)))
     return surveys.ask_candidates(state, packet, _agents(
         state, services, flow, _lookup_candidates(services)), now)
 
--- a/poplarstep/opaque_flows/pending_flows.py
+++ b/poplarstep/opaque_flows/pending_flows.py
@@ -47,11 +47,18 @@
         When the agents that have not answered are asked again.
     check_at : int
         When the flow must be evaluated although no answer has come.
+    likely : frozenset of Address
+        Agents of the flow's first candidates.
+    rest_at : int
+        Until when the others wait for an answer of these agents' targets.
+    rest_bytes : int
+        Bytes of the packets that others may still have to get.
     """
 
     __slots__ = (
         'tracked', 'arrived_at', 'packet_at', 'asked_at', 'uncertain_at',
-        'denied_by', 'rounds', 'next_at', 'check_at')
+        'denied_by', 'rounds', 'next_at', 'check_at', 'likely', 'rest_at',
+        'rest_bytes')
 
     def __init__(self, tracked, now):
         self.tracked = tracked
@@ -63,6 +70,9 @@
         self.rounds = 0
         self.next_at = now + CANDIDATES_ANSWER_MS
         self.check_at = self.next_at
+        self.likely = frozenset()
+        self.rest_at = now
+        self.rest_bytes = 0
 
     @property
     def packet(self):
--- a/poplarstep/opaque_flows/surveys.py
+++ b/poplarstep/opaque_flows/surveys.py
@@ -135,6 +135,8 @@
         state.surveys.packet_queue.setdefault(flow)
     if pending.tracked.passed_at_by_agent:
         times.append(now + CHECK_INTERVAL_MS)
+    if now < pending.rest_at:
+        times.append(pending.rest_at)
     if now < pending.next_at:
         times.append(pending.next_at)
     elif _unanswered(pending, undecided):
--- a/poplarstep/opaque_flows/uncertain_agents.py
+++ b/poplarstep/opaque_flows/uncertain_agents.py
@@ -7,8 +7,13 @@
 holds. Its target finds out: it accepts the packet, or returns it. A packet
 that goes to the wrong target is wasted, and the flow's own target waits for
 it, so it is sent only when all agents have been asked and none holds the
-flow. All uncertain agents get it at once, so that the right one is among
-them.
+flow.
+
+The agents of the flow's first candidates get the packet first: nearly all
+flows are opened at one of them. The others get it as soon as the targets of
+these have returned it, or a little later without an answer. The bytes that
+may follow are limited, so that they are sent before an open flow counts as
+broken.
 """
 
 import math
@@ -27,6 +32,12 @@
 # By then the target of the right agent has answered the packet, and the agent
 # knows the flow.
 RESULT_MS = 150
+# The likely agents have been asked again by then.
+REST_DELAY_MS = 250
+# The packets that other agents may still have to get, as a time at the rate
+# of the budget. With the delay it is below the 2 s after which a flow counts
+# as broken.
+MAXIMUM_REST_S = 1.5
 
 
 def silent(pending, agents):
@@ -41,8 +52,8 @@
         for agent in silent(pending, agents)), default=-math.inf)
 
 
-def recipients(pending, agents, now):
-    r"""Return the uncertain agents among ``agents`` that get the packet now.
+def due_agents(pending, agents, now):
+    r"""Return the uncertain agents among ``agents`` that may get the packet.
 
     An agent that got an earlier packet gets another one only if the caller
     has sent one since, and the agent has been asked since and still can't
@@ -58,6 +69,22 @@
                 pending.uncertain_at[agent], pending.packet_at))]
 
 
+def recipients(pending, agents, now):
+    r"""Return the uncertain agents among ``agents`` that get the packet now.
+
+    They are the likely ones, if any of these is due. The others wait while
+    the target of a likely agent may still answer.
+    """
+    due = due_agents(pending, agents, now)
+    likely = [agent for agent in due if agent in pending.likely]
+    if likely:
+        return likely
+    awaited = now < pending.rest_at and any(
+        agent in pending.likely for agent in agents
+        if agent in pending.tracked.passed_at_by_agent)
+    return [] if awaited else due
+
+
 def unasked(pending, agents):
     r"""Return the agents that got a packet after their latest answer."""
     passed_at = pending.tracked.passed_at_by_agent
@@ -68,25 +95,59 @@
 
 
 def send(state, now):
-    r"""Send packets to uncertain agents, in order, while budget is left."""
+    r"""Send packets to uncertain agents, in order, while budget is left.
+
+    Flows whose likely agents did not take the packet come first.
+    """
     surveys = state.surveys
     effects = []
-    for flow in list(surveys.packet_queue):
+    rest_bytes = sum(
+        pending.rest_bytes for pending in surveys.pending_by_flow.values())
+    for flow in _in_order(surveys):
         pending = surveys.pending_by_flow[flow]
         agents = pending_flows.undecided_agents(state, flow, pending) or ()
         if now >= unblocked_at(pending, agents):
-            agents = recipients(pending, agents, now)
-            size = lookup_budget.packet_bytes(pending.packet, len(agents))
-            if not surveys.packet_budget.try_take(size, now):
+            chosen, size, rest = _choose(surveys, pending, agents, now)
+            if rest and rest_bytes + rest > _rest_limit(surveys) or (
+                    not surveys.packet_budget.try_take(size, now)):
                 state.counters.uncertain_delays += 1
                 break
-            effects.extend(_send_packet(state, pending, agents, now))
+            rest_bytes += rest - pending.rest_bytes
+            pending.rest_bytes = rest
+            effects.extend(_send_packet(state, pending, chosen, now))
         del surveys.packet_queue[flow]
     return effects
 
 
+def _in_order(surveys):
+    r"""Return the waiting flows, in order of arrival in two groups."""
+    return sorted(
+        surveys.packet_queue,
+        key=lambda flow: not surveys.pending_by_flow[flow].rest_bytes)
+
+
+def _rest_limit(surveys):
+    return surveys.packet_budget.burst * MAXIMUM_REST_S
+
+
+def _choose(surveys, pending, agents, now):
+    r"""Return the recipients, their bytes, and the bytes that may follow.
+
+    All get the packet at once if what may follow exceeds the limit alone.
+    """
+    due = due_agents(pending, agents, now)
+    chosen = recipients(pending, agents, now)
+    rest = lookup_budget.packet_bytes(
+        pending.packet, len(due) - len(chosen))
+    if rest > _rest_limit(surveys):
+        chosen, rest = due, 0
+    return chosen, lookup_budget.packet_bytes(
+        pending.packet, len(chosen)), rest
+
+
 def _send_packet(state, pending, agents, now):
     state.counters.uncertain_packets += len(agents)
+    pending.rest_at = now + REST_DELAY_MS
     pending.next_at = now + RESULT_MS
     pending.check_at = min(pending.check_at, pending.next_at)
     pending.tracked.passed_at_by_agent = {
