--- a/poplarstep/programs/settings.py
+++ b/poplarstep/programs/settings.py
@@ -131,7 +131,9 @@
             'ended; "reset" needs it on all balancers and agents, and targets '
             'that accept TCP connections at their address while they run'),
     Setting('lookup-rate', 'number', str(lookup_budget.DEFAULT_RATE),
-            'bytes/s', (10_000, 100_000_000), ('flow-balancer',),
+            'bytes/s', (
+                lookup_budget.MINIMUM_RATE, lookup_budget.MAXIMUM_RATE),
+            ('flow-balancer',),
             'limit of the questions for unknown flows, and of the packets '
             'to agents that may hold them, each; a third of the link of the '
             'host; only with "dead-flows" = "reset"'),
