Count replies that are slower than the heartbeats

Cause: a heartbeat replaced the message whose reply the leader awaited. When replies took longer than the heartbeat interval of 150 ms, no reply answered the latest message, and the member was sent nothing more.

Change: only a message with data, or the first message after a reply, is awaited (Progress.note_sent, accept_reply). The handlers of replies move from replication.py to replies.py and promote from membership.py to promotion.py.

Ruled out: several messages with data in flight to one learner; the learner's reply would still tell of an older log than the leader's.

--- a/poplarstep/consensus/automatic_membership.py
+++ b/poplarstep/consensus/automatic_membership.py
@@ -4,7 +4,7 @@
 ===========
 
 With ``automatic_membership`` the leader adds each host that sends ``Hello`` as
-a learner; ``membership.promote`` makes it a voter when it holds the log. A
+a learner; ``promotion.promote`` makes it a voter when it holds the log. A
 host that restarts with an empty disk replaces its former identity in the
 same change.
 
--- a/poplarstep/consensus/membership.py
+++ b/poplarstep/consensus/membership.py
@@ -15,7 +15,6 @@
 
 from poplarstep.consensus import handlers
 from poplarstep.consensus import message
-from poplarstep.consensus import progress as progresses
 from poplarstep.consensus import replication
 from poplarstep.consensus import state as states
 from poplarstep.core import registry
@@ -122,22 +121,3 @@
     return tuple(
         member for member in state.log.members
         if member.identity.name != name)
-
-
-def promote(state, now):
-    r"""Make one learner a voter if it holds all committed entries."""
-    if change_refusal_reason(state):
-        return []
-    for member in state.log.members:
-        progress = state.progress_by_identity.get(member.identity)
-        if member.voter or progress is None or (
-                progress.match_index < state.commit_index):
-            continue
-        members = tuple(
-            item.replace(voter=True) if item is member else item
-            for item in state.log.members)
-        return [
-            progresses.promotion_report(member, progress, now),
-        ] + replication.append(state, now, [
-            (message.MEMBERSHIP, b'', members, 0)])
-    return []
--- a/poplarstep/consensus/progress.py
+++ b/poplarstep/consensus/progress.py
@@ -27,10 +27,12 @@
     acknowledged_send_time : int or None
         Send time in ms of the latest message that the member has replied
         to.
-    pending_send_time : int or None
-        Send time in ms of the latest message, None once its reply has
-        arrived. Replies to earlier messages cause no further message;
-        otherwise each duplicated reply would cause one.
+    awaited_send_time : int or None
+        Send time in ms of the message whose reply is awaited, None once it
+        or the reply to a later message has arrived. It is the latest message
+        with data, or the first one after the last reply. Replies to earlier
+        messages cause no further message; otherwise each duplicated reply
+        would cause one.
     data_in_flight : bool
         Entries or a snapshot chunk were sent and the reply is missing.
     snapshot_offset : int
@@ -49,7 +51,7 @@
 
     __slots__ = (
         'match_index', 'next_index', 'acknowledged_send_time',
-        'pending_send_time', 'data_in_flight', 'snapshot_offset',
+        'awaited_send_time', 'data_in_flight', 'snapshot_offset',
         'snapshot_index', 'sent_messages', 'sent_bytes', 'added_at',
         'report_due')
 
@@ -57,7 +59,7 @@
         self.match_index = 0
         self.next_index = next_index
         self.acknowledged_send_time = None
-        self.pending_send_time = None
+        self.awaited_send_time = None
         self.data_in_flight = False
         self.snapshot_offset = 0
         self.snapshot_index = -1
@@ -66,6 +68,30 @@
         self.added_at = now
         self.report_due = now + REPORT_INTERVAL_MS
 
+    def note_sent(self, has_data, now):
+        r"""Record that a message is sent, with data or empty.
+
+        An empty message does not replace an awaited one: if it did, a member
+        whose replies take longer than the heartbeat interval would never
+        reply to the awaited message.
+        """
+        if has_data or self.awaited_send_time is None:
+            self.awaited_send_time = now
+        self.data_in_flight = self.data_in_flight or has_data
+
+    def accept_reply(self, sent_at):
+        r"""Record a reply; return whether it answers the awaited message.
+
+        A reply to a later message counts as well, because the awaited one
+        may be lost. Only the first such reply returns true.
+        """
+        if self.awaited_send_time is None or (
+                sent_at < self.awaited_send_time):
+            return False
+        self.awaited_send_time = None
+        self.data_in_flight = False
+        return True
+
     def count_sent(self, size):
         r"""Count a message with entries or a chunk of ``size`` bytes."""
         self.sent_messages += 1
--- a/poplarstep/consensus/replica.py
+++ b/poplarstep/consensus/replica.py
@@ -19,10 +19,11 @@
 from poplarstep.consensus import election
 from poplarstep.consensus import follower  # noqa: F401
 from poplarstep.consensus import handlers
-from poplarstep.consensus import membership
 from poplarstep.consensus import message
 from poplarstep.consensus import persistence
+from poplarstep.consensus import promotion
 from poplarstep.consensus import replication
+from poplarstep.consensus import replies  # noqa: F401
 from poplarstep.consensus import roles
 from poplarstep.consensus import snapshot  # noqa: F401
 from poplarstep.consensus import state as states
@@ -63,6 +64,6 @@
     if state.role == states.LEADER:
         effects.extend(replication.tick(state, now))
         return (
-            effects + membership.promote(state, now)
+            effects + promotion.promote(state, now)
             + automatic_membership.tick(state, now))
     return effects + election.tick(state, now)
--- a/poplarstep/consensus/replication.py
+++ b/poplarstep/consensus/replication.py
@@ -152,7 +152,6 @@
     that a host that is down or slow does not get the same data repeatedly.
     """
     progress = progress_of(state, member.identity, now)
-    progress.pending_send_time = now
     if progress.next_index <= state.log.base_index or (
             progress.snapshot_index >= 0):
         return snapshot.send_chunk(state, member, progress, now)
@@ -160,7 +159,7 @@
     entries = ()
     if not progress.data_in_flight:
         entries = state.log.batch(progress.next_index)
-        progress.data_in_flight = bool(entries)
+    progress.note_sent(bool(entries), now)
     if entries:
         count_entries(state, progress, entries)
     return states.send(member.address, peer.AppendEntries(
@@ -176,127 +175,6 @@
     state.counters.entry_bytes_sent += size
 
 
-@handlers.PEER_MESSAGES.handles(peer.AppendReply)
-def handle_append_reply(state, received, now):
-    r"""Update the progress of a member after ``AppendEntries``."""
-    reply = received.message
-    progress = accept_reply(state, reply)
-    if progress is None:
-        return step_down_for_higher_term(state, reply, now)
-    may_send = mark_replied(progress, reply)
-    if reply.success:
-        progress.match_index = max(progress.match_index, reply.match_index)
-        progress.next_index = max(
-            progress.next_index, progress.match_index + 1)
-    elif may_send:
-        may_send = backtrack(state, progress, reply)
-    effects = extend_lease(state, now) + advance_commit(state, now)
-    if may_send:
-        effects.extend(continue_sending(state, reply.sender, now))
-    return effects
-
-
-@handlers.PEER_MESSAGES.handles(peer.SnapshotReply)
-def handle_snapshot_reply(state, received, now):
-    r"""Update the progress of a member after ``InstallSnapshot``."""
-    reply = received.message
-    progress = accept_reply(state, reply)
-    if progress is None:
-        return step_down_for_higher_term(state, reply, now)
-    if progress.snapshot_index != reply.index:
-        return []
-    latest = mark_replied(progress, reply)
-    if reply.done:
-        progress.snapshot_index = -1
-        progress.snapshot_offset = 0
-        progress.match_index = max(progress.match_index, reply.index)
-        progress.next_index = progress.match_index + 1
-    elif latest:
-        progress.snapshot_offset = reply.offset
-    effects = extend_lease(state, now) + advance_commit(state, now)
-    if latest:
-        effects.extend(continue_sending(state, reply.sender, now))
-    return effects
-
-
-def accept_reply(state, reply):
-    r"""Return the sender's progress if the reply is for this term.
-
-    A host without a group has term 0; its reply asks for a snapshot and
-    does not extend the lease.
-    """
-    progress = state.progress_by_identity.get(reply.sender)
-    if state.role != states.LEADER or progress is None or (
-            reply.term not in (state.term, 0)):
-        return None
-    if reply.term == state.term:
-        progress.acknowledged_send_time = max(
-            progress.acknowledged_send_time or 0, reply.sent_at)
-    return progress
-
-
-def step_down_for_higher_term(state, reply, now):
-    r"""Step down if a member replies with a higher term."""
-    if reply.term > state.term and (
-            reply.sender in state.progress_by_identity):
-        return roles.become_follower(state, reply.term, None, now)
-    return []
-
-
-def mark_replied(progress, reply):
-    r"""Record a reply; return whether it answers the latest message.
-
-    Only the first reply to the latest message returns true.
-    """
-    if progress.pending_send_time is None or (
-            reply.sent_at < progress.pending_send_time):
-        return False
-    progress.pending_send_time = None
-    progress.data_in_flight = False
-    return True
-
-
-def backtrack(state, progress, reply):
-    r"""Move the next index back after a conflict, a whole term at a time.
-
-    Returns
-    =======
-
-    bool
-        Whether the next message differs from the one that was refused.
-    """
-    former = (progress.next_index, progress.snapshot_index)
-    hint = reply.conflict_index
-    if reply.conflict_term:
-        known = state.log.last_index_of_term(
-            reply.conflict_term, reply.conflict_index)
-        if known is not None:
-            hint = known + 1
-    if hint == 0:
-        # The member needs a snapshot.
-        progress.snapshot_index = state.log.snapshot.index
-        progress.snapshot_offset = 0
-    progress.next_index = max(
-        progress.match_index + 1, min(hint, progress.next_index))
-    return former != (progress.next_index, progress.snapshot_index)
-
-
-def continue_sending(state, identity, now):
-    r"""Send more if the member still lacks entries."""
-    progress = state.progress_by_identity.get(identity)
-    if progress is None or progress.data_in_flight or (
-            state.role != states.LEADER):
-        return []
-    behind = progress.next_index <= state.log.last_index
-    if not behind and progress.snapshot_index < 0:
-        return []
-    effects = []
-    for member in states.other_members(state):
-        if member.identity == identity:
-            effects.extend(send_to(state, member, now))
-    return effects
-
-
 def extend_lease(state, now):
     r"""Extend the lease, counted from the send time of messages.
 
--- a/poplarstep/consensus/snapshot.py
+++ b/poplarstep/consensus/snapshot.py
@@ -53,7 +53,7 @@
     if chunk:
         progress.count_sent(len(chunk))
         state.counters.snapshot_bytes_sent += len(chunk)
-    progress.data_in_flight = True
+    progress.note_sent(not progress.data_in_flight, now)
     return states.send(member.address, peer.InstallSnapshot(
         state.identity, member.identity, state.group, state.term,
         snapshot.index, snapshot.term, snapshot.members,
