Let a restarted agent learn flows from its target's data

Cause: after a kill of all processes a target repeats its answers, and the agent forwards them, but it still answers uncertain to a lookup of the flow. Change: with dead-flows = reset the agent records an unknown flow of which its target sends data as held. Ruled out: acknowledgements without data (a target answers the close of an ended flow with one) and opening answers (the caller may use another target). Measured: test_restarted_agent_learns_flows_from_its_targets_data fails without the change (data case) and passes with it.

--- a/poplarstep/opaque_flows/agent.py
+++ b/poplarstep/opaque_flows/agent.py
@@ -150,6 +150,7 @@
     state.health.receive(segment, now)
     effects = [message.ToCaller(segment.flow, segment.datagram)]
     if flow is None:
+        _learn_flow(state, segment, now)
         return effects
     flow.last_used = now
     if segment.opening:
@@ -173,6 +174,22 @@
     return effects
 
 
+def _learn_flow(state, segment, now):
+    r"""Record an unknown flow of which the target sends data: it holds it.
+
+    An earlier run of this agent started the flow. No balancer is known until
+    one sends a packet of it, and the target returns only what it has got.
+    """
+    if not state.resets_dead_flows or not segment.data_bytes or (
+            segment.closing or segment.reset):
+        return
+    flow = states.Flow(None, None, now)
+    flow.answered = True
+    flow.awaits_request = True
+    agent_flows.add_flow(state, segment.flow, flow, now)
+    state.counters.flows_learned += 1
+
+
 def _handle_returned(state, segment, flow, now):
     r"""Tell the balancer that the target returned a packet of a flow."""
     state.counters.returned += 1
@@ -190,7 +207,9 @@
             segment.flow, segment.data_bytes > 0,
             segment.closing or segment.reset, segment.datagram,
             segment.acknowledged, segment.sequence)
-    effects = [message.ToNode(flow.balancer, answer)]
+    effects = []
+    if flow.balancer is not None:
+        effects.append(message.ToNode(flow.balancer, answer))
     effects += agent_requests.release_flow(state, segment.flow, now)
     if freed:
         effects += agent_flows.start_queued_flows(state, now)
--- a/poplarstep/opaque_flows/agent_state.py
+++ b/poplarstep/opaque_flows/agent_state.py
@@ -25,8 +25,9 @@
     Parameters
     ==========
 
-    balancer : Address
-        The balancer that sent the latest packet of the flow.
+    balancer : Address or None
+        The balancer that sent the latest packet of the flow; None if this
+        agent knows the flow only from its target's packets.
     offer : Offer or None
         The offer that started the flow; None if the agent did not see the
         start.
@@ -120,7 +121,8 @@
     were forwarded before a slot was free, and ``held_expired`` dropped ones.
     ``load_reports`` counts the loads sent without an offer,
     ``flows_claimed`` flows that balancers told this agent after its start, and
-    ``claims_returned`` those of them that the target did not hold.
+    ``claims_returned`` those of them that the target did not hold;
+    ``flows_learned`` unknown flows of which the target sent data.
     """
 
     __slots__ = (
@@ -130,7 +132,8 @@
         'outdated_offers', 'pauses', 'surveyed', 'dead_flows_reset', 'probes',
         'offers_withdrawn', 'withdrawn_too_late', 'reservations_released',
         'held_requests', 'held_copies', 'held_overflow', 'held_released',
-        'held_expired', 'load_reports', 'flows_claimed', 'claims_returned')
+        'held_expired', 'load_reports', 'flows_claimed', 'claims_returned',
+        'flows_learned')
 
     def __init__(self):
         for name in self.__slots__:
--- a/poplarstep/opaque_flows/tests/test_claims.py
+++ b/poplarstep/opaque_flows/tests/test_claims.py
@@ -181,3 +181,29 @@
         names += [item.event for item in agent.AGENT.process(
             state, timer.Tick(agent.TICK), now)]
     assert names.count('flows-claimed') == 1
+
+
+@pytest.mark.parametrize('dead_flows, segment, known', [
+    ('reset', fixtures.segment(data=500), True),
+    ('reset', fixtures.segment(), False),
+    ('reset', fixtures.segment(data=500, closing=True), False),
+    ('ignore', fixtures.segment(data=500), False)],
+    ids=['data', 'acknowledgement', 'close', 'ignored'])
+def test_restarted_agent_learns_flows_from_its_targets_data(
+        dead_flows, segment, known):
+    """Guards against a search for a flow that the target is answering.
+
+    After a kill of all processes a target sends its answer again until the
+    caller has acknowledged it, and the agent forwards the copies.
+    """
+    state = fixtures.make_agent(sequence=9, dead_flows=dead_flows)
+    effects = list(agent.AGENT.process(
+        state, message.FromTarget(segment), 1))
+    assert [type(item) for item in effects] == [message.ToCaller]
+    effects = fixtures.send_to_agent(
+        state, message.FlowQuery(fixtures.FLOW), now=2)
+    assert bool(fixtures.messages_of(effects, message.FlowAccepted)) is known
+    assert state.counters.flows_learned == known
+    # A packet that no balancer sent to this run returns without a receiver.
+    returned = fixtures.segment(data=5, returned=True)
+    assert not agent.AGENT.process(state, message.FromTarget(returned), 3)
