Tell a restarted agent no flows that their callers have closed

Cause: a balancer keeps closed flows until the idle timeout, so agents of deployments with flows of one request each were told flows that had ended. Change: TrackedFlow.is_closed; closed flows are left out. Ruled out: removing closed flows from the table (late packets would be looked up). Measured: test_closed_flows_are_not_sent fails without the line, passes with it.

--- a/poplarstep/opaque_flows/balancer.py
+++ b/poplarstep/opaque_flows/balancer.py
@@ -67,6 +67,7 @@
     tracked.last_used = now
     # The caller has opened the flow, here or through another balancer.
     tracked.may_be_open = True
+    tracked.is_closed |= segment.closing or segment.reset
     return _forward(state, tracked, _packet_from_caller(segment), now)
 
 
--- a/poplarstep/opaque_flows/balancer_state.py
+++ b/poplarstep/opaque_flows/balancer_state.py
@@ -75,6 +75,8 @@
         Until when the flow may wait in the queue of an agent.
     opening_received_at : int or None
         When the opening packet arrived; None once an agent has accepted it.
+    is_closed : bool
+        The caller has closed or reset the flow.
     """
 
     __slots__ = (
@@ -84,7 +86,7 @@
         'reason_by_target', 'may_be_open', 'queue_deadline',
         'opening_received_at', 'round_count', 'looked_up_at',
         'waiting_packets', 'is_late', 'late_deadline', 'copy_due_at',
-        'first_opening_at', 'refusal', 'tie', 'passed_at_by_agent')
+        'first_opening_at', 'refusal', 'tie', 'is_closed', 'passed_at_by_agent')
 
     def __init__(self, now):
         self.round_count = 0
@@ -113,6 +115,7 @@
         self.may_be_open = False
         self.queue_deadline = 0
         self.opening_received_at = None
+        self.is_closed = False
 
 
 class FlowBalancerCounters:
--- a/poplarstep/opaque_flows/known_flows.py
+++ b/poplarstep/opaque_flows/known_flows.py
@@ -182,7 +182,7 @@
     end = known.scan_position + FLOWS_PER_SLICE
     for flow in known.scanned_flows[known.scan_position:end]:
         tracked = state.tracked_by_flow.get(flow)
-        if tracked is None or tracked.agent is None:
+        if tracked is None or tracked.agent is None or tracked.is_closed:
             continue
         notice = known.notice_by_agent.get(tracked.agent)
         if notice is not None and (
--- a/poplarstep/opaque_flows/tests/test_known_flows.py
+++ b/poplarstep/opaque_flows/tests/test_known_flows.py
@@ -144,6 +144,16 @@
     assert bool(notices(run(state))) is is_sent
 
 
+@pytest.mark.parametrize('closing, is_sent', [(False, True), (True, False)])
+def test_closed_flows_are_not_sent(closing, is_sent):
+    """Guards against notices about flows of one request each, which ended."""
+    state = make_balancer()
+    list(balancer.BALANCER.process(state, message.FromCaller(
+        fixtures.segment(closing=closing)), NOW))
+    restart_agent(state)
+    assert bool(notices(run(state))) is is_sent
+
+
 def test_flow_that_moves_before_the_repetition_is_not_sent_again():
     """Guards against a claim of a flow that was found at another agent."""
     state = make_balancer()
