Wrap a line of the slots of a tracked flow

Cause: the linter refuses a line of 80 characters in balancer_state.py. Change: the line is wrapped. Nothing ruled out. The linter is clean.

--- a/poplarstep/opaque_flows/balancer_state.py
+++ b/poplarstep/opaque_flows/balancer_state.py
@@ -86,7 +86,8 @@
         'reason_by_target', 'may_be_open', 'queue_deadline',
         'opening_received_at', 'round_count', 'looked_up_at',
         'waiting_packets', 'is_late', 'late_deadline', 'copy_due_at',
-        'first_opening_at', 'refusal', 'tie', 'is_closed', 'passed_at_by_agent')
+        'first_opening_at', 'refusal', 'tie', 'is_closed',
+        'passed_at_by_agent')
 
     def __init__(self, now):
         self.round_count = 0
