Forward returned packets once, and none that a search has sent

Cause: the targets of uncertain agents return a packet after the search has found its flow, so the balancer forwarded one copy for each of them to the agent that holds the flow, beyond the budget. Conversely, of several packets that were on their way to a wrong agent, only the first one returned was kept for the search; the others were dropped as if they had been part of it.

Change: a packet that an agent got as an uncertain one is not forwarded when it is returned.

Ruled out: a returned packet without the acknowledged number is still dropped, since a reset would lack the number. Returns later than a second may start a search again; their number is limited by MAXIMUM_LOOKUPS.

--- a/poplarstep/opaque_flows/balancer.py
+++ b/poplarstep/opaque_flows/balancer.py
@@ -242,17 +242,32 @@
     tracked = state.tracked_by_flow.get(answer.flow)
     if tracked is None:
         return []
-    if tracked.agent not in (None, event.source):
-        return _forward(state, tracked, _packet_from_agent(answer), now)
     if tracked.agent is None:
-        # The packet was part of a lookup or a survey, so the agent that holds
-        # the flow has received it.
         pending_flows.record_denial(state, answer.flow, event.source)
+    if _is_part_of_search(state, tracked, event.source, answer):
         return []
-    tracked.agent = tied_offers.agent_after_return(tracked, event.source)
+    if tracked.agent == event.source:
+        tracked.agent = tied_offers.agent_after_return(tracked, event.source)
     return _forward(state, tracked, _packet_from_agent(answer), now)
 
 
+def _is_part_of_search(state, tracked, source, answer):
+    r"""Return whether a returned packet needs no forwarding.
+
+    A search keeps its packets for the agent that holds the flow, and uncertain
+    agents get copies of them. Without surveys, a lookup sends the packet to
+    all agents. A packet without the acknowledged number, which a reset needs,
+    must not replace a waiting one that has it.
+    """
+    if tracked.agent == source:
+        return False
+    if tracked.agent is None and (
+            not state.surveys.enabled
+            or answer.acknowledged == segments.NO_SEQUENCE_NUMBER):
+        return True
+    return source in tracked.passed_at_by_agent
+
+
 def _packet_from_agent(answer):
     return message.FlowPacket(
         answer.flow, answer.has_data, answer.ending, answer.datagram,
--- /dev/null
+++ b/poplarstep/opaque_flows/tests/test_search_disturbances.py
@@ -0,0 +1,102 @@
+"""Tests of the search for a flow that something disturbs meanwhile."""
+
+import pytest
+
+from poplarstep.configuration import model
+from poplarstep.core import timer
+from poplarstep.opaque_flows import balancer
+from poplarstep.opaque_flows import message
+from poplarstep.opaque_flows import offers
+from poplarstep.opaque_flows import pending_flows
+from poplarstep.opaque_flows.tests import fixtures
+
+FLOW = fixtures.FLOW
+# Agents of the service of the route.
+AGENTS = fixtures.AGENTS[:3]
+ACKNOWLEDGED = 7001
+ACCEPTED = message.FlowAccepted(FLOW, fixtures.IDLE_LOAD)
+UNCERTAIN = message.FlowUncertain(FLOW)
+DENIED = message.SurveyReply(0, (), (), (FLOW,))
+
+
+def make_balancer(enabled=True, targets=()):
+    """Return a balancer, before further targets of the service."""
+    catalogue = fixtures.make_catalogue()
+    catalogue.apply([model.Change(2, body) for body in targets])
+    return fixtures.make_balancer(
+        catalogue, survey_state=pending_flows.make_surveys(
+            enabled, lambda now: now))
+
+
+def send(state, now, data=500, sequence=100):
+    """Process a caller's packet; return the messages to agents."""
+    segment = fixtures.segment(data=data, sequence=sequence)
+    segment.datagram = b'packet %d' % sequence
+    segment.acknowledged = ACKNOWLEDGED
+    return to_nodes(balancer.BALANCER.process(
+        state, message.FromCaller(segment), now))
+
+
+def answer(state, source, item, now):
+    """Process an agent's message; return the messages to agents."""
+    return to_nodes(balancer.BALANCER.process(
+        state, message.FromNode(source, item), now))
+
+
+def run(state, until, first=0):
+    """Process ticks every 20 ms; return ``(time, message to an agent)``."""
+    return [
+        (now, item)
+        for now in range(first, until, balancer.TICK_PERIOD_MS)
+        for item in to_nodes(balancer.BALANCER.process(
+            state, timer.Tick(balancer.TICK), now))]
+
+
+def to_nodes(effects):
+    """Return the effects that are messages to agents."""
+    return [item for item in effects if type(item) is message.ToNode]
+
+
+def returned(sequence=100):
+    """Return a packet with data that a target has returned."""
+    return message.ReturnedPacket(
+        FLOW, True, False, b'packet %d' % sequence, ACKNOWLEDGED, sequence)
+
+
+def lookups_in(sent):
+    """Return ``(time, agent)`` of the packets to uncertain agents."""
+    return [(now, item.destination) for now, item in sent
+            if type(item.message) is message.FlowLookup]
+
+
+def test_returns_of_uncertain_agents_are_not_sent_to_the_holder():
+    """Guards against copies of a packet, one for each uncertain agent.
+
+    The holder's target answers the packet before the other targets return it.
+    """
+    state = make_balancer()
+    send(state, 0)
+    for agent in AGENTS:
+        answer(state, agent, UNCERTAIN, 2)
+    passed = lookups_in(run(state, 100))
+    assert [agent for _, agent in passed] == list(AGENTS)
+    assert len(answer(state, AGENTS[0], ACCEPTED, 101)) == 1
+    for agent in AGENTS[1:]:
+        assert answer(state, agent, returned(), 102) == []
+
+
+@pytest.mark.parametrize('enabled', [True, False])
+def test_all_packets_that_a_wrong_target_returns_reach_the_holder(enabled):
+    """Guards against a lost packet of a flow whose agent was wrong.
+
+    Several packets are on their way to the wrong target.
+    """
+    state = make_balancer(enabled)
+    offers.add_flow(state, FLOW, 0).agent = AGENTS[1]
+    for sequence in (100, 200, 300):
+        assert len(send(state, 0, sequence=sequence)) == 1
+    for sequence in (100, 200, 300):
+        answer(state, AGENTS[1], returned(sequence), 2)
+    sent = answer(state, AGENTS[0], ACCEPTED, 4)
+    assert [item.message.sequence for item in sent] == (
+        [100, 200, 300] if enabled else [])
