Read the answers after a pause before packets go to uncertain agents

Cause: a balancer that was frozen for longer than an agent may be silent took the agents whose answers waited in its socket for cut off. Its first tick sent the packet to all uncertain agents, although the right one had answered.

Change: no packet goes to uncertain agents until a tick comes in time again, as with opening packets after a pause.

Ruled out: resets. They need answers, and a poll that was sent after the packet arrived, so a pause can only delay them. Surveys go on.

--- a/poplarstep/opaque_flows/surveys.py
+++ b/poplarstep/opaque_flows/surveys.py
@@ -98,6 +98,9 @@
         elif now >= pending.check_at:
             effects.extend(_check(state, flow, pending, now))
     effects.extend(_ask(state, now))
+    if state.resumed_at is not None:
+        # Answers may still wait in the socket.
+        return effects
     return effects + uncertain_agents.send(state, now)
 
 
--- a/poplarstep/opaque_flows/tests/test_search_disturbances.py
+++ b/poplarstep/opaque_flows/tests/test_search_disturbances.py
@@ -100,3 +100,20 @@
     sent = answer(state, AGENTS[0], ACCEPTED, 4)
     assert [item.message.sequence for item in sent] == (
         [100, 200, 300] if enabled else [])
+
+
+def test_answers_are_read_after_a_pause_before_packets_are_sent():
+    """Guards against packets to wrong targets while the answer waits.
+
+    The process is frozen for longer than an agent may be silent. The answer
+    of the agent that holds the flow is still in the socket.
+    """
+    state = make_balancer()
+    run(state, 20)
+    send(state, 20)
+    for agent in AGENTS[1:]:
+        answer(state, agent, UNCERTAIN, 22)
+    run(state, 100, first=40)
+    assert not lookups_in(run(state, 3001, first=3000))
+    assert len(answer(state, AGENTS[0], ACCEPTED, 3001)) == 1
+    assert not lookups_in(run(state, 3200, first=3020))
