Send each message of a search once to an agent of two targets

Cause: while a target is renamed, the catalogue has two targets with the same agent address. The search took them for two agents, so the agent got each question, and each packet for uncertain agents, twice.

Change: the agents of a search are distinct.

Ruled out: a change of candidates.lookup, which is also used with dead-flows = ignore. Answers are recorded by address, so proofs were not affected.

The test failed before; opaque_flows passes.

--- a/poplarstep/opaque_flows/pending_flows.py
+++ b/poplarstep/opaque_flows/pending_flows.py
@@ -219,8 +219,9 @@
     if route is None:
         return None
     denied_by = pending.denied_by
-    return [
+    # Two targets have the same agent while one is renamed.
+    return list(dict.fromkeys(
         target.agent for service in model.services_of_flows(route)
         for target in state.catalogue.targets_by_service.get(
             service, {}).values()
-        if target.agent not in denied_by]
+        if target.agent not in denied_by))
--- a/poplarstep/opaque_flows/surveys.py
+++ b/poplarstep/opaque_flows/surveys.py
@@ -66,12 +66,14 @@
     """
     surveys = state.surveys
     pending = surveys.pending_by_flow[packet.flow]
+    # Two targets have the same agent while one is renamed.
+    agents = dict.fromkeys(agents, now)
     size = len(agents) * lookup_budget.QUERY_BYTES
     if surveys.query_queue or not surveys.query_budget.try_take(
             size, now, reserve=surveys.query_budget.burst // 2):
         return []
     state.counters.lookup_messages += len(agents)
-    pending.asked_at.update(dict.fromkeys(agents, now))
+    pending.asked_at.update(agents)
     query = message.FlowQuery(packet.flow, packet.acknowledged)
     return [message.ToNode(agent, query) for agent in agents]
 
--- a/poplarstep/opaque_flows/tests/test_search_disturbances.py
+++ b/poplarstep/opaque_flows/tests/test_search_disturbances.py
@@ -102,6 +102,20 @@
         [100, 200, 300] if enabled else [])
 
 
+def test_two_targets_with_one_agent_get_each_message_once():
+    """Guards against doubled packets while a target changes its name."""
+    renamed = fixtures.make_target(0).replace(name='renamed', number=9)
+    state = make_balancer(targets=[renamed])
+    sent = [(0, item) for item in send(state, 0)]
+    for agent in AGENTS:
+        answer(state, agent, UNCERTAIN, 2)
+    sent += run(state, 100)
+    for now in {now for now, _ in sent}:
+        messages = [(item.destination, type(item.message))
+                    for at, item in sent if at == now]
+        assert len(messages) == len(set(messages))
+
+
 def test_answers_are_read_after_a_pause_before_packets_are_sent():
     """Guards against packets to wrong targets while the answer waits.
 
