Keep the time of the first question when data restarts a search

Cause: the first packet with data of a flow that is already looked for starts a new search, since earlier denials are no proof. That also forgot when agents were first asked, so a silent agent held up the packet for uncertain agents for 2.5 s again.

Change: for agents that have not answered, the time of the first question is kept.

Ruled out: keeping "uncertain" answers as well. An agent that has answered may have restarted since, and is asked again anyway.

The test failed before; opaque_flows passes.

--- a/poplarstep/opaque_flows/pending_flows.py
+++ b/poplarstep/opaque_flows/pending_flows.py
@@ -138,7 +138,9 @@
         tracked.waiting_packets = _with_packet(
             tracked.waiting_packets, packet)
         return False
+    silent_since = {}
     if pending is not None:
+        silent_since = _silent_since(pending)
         tracked.waiting_packets = _with_packet(
             tracked.waiting_packets, packet)
     elif len(surveys.pending_by_flow) >= MAXIMUM_PENDING_FLOWS:
@@ -148,9 +150,18 @@
     if not surveys.pending_by_flow:
         surveys.evaluate_at = now + CANDIDATES_ANSWER_MS
     surveys.pending_by_flow[packet.flow] = PendingFlow(tracked, now)
+    surveys.pending_by_flow[packet.flow].asked_at = silent_since
     return True
 
 
+def _silent_since(pending):
+    r"""Return when each agent that has not answered was first asked."""
+    return {
+        agent: asked_at for agent, asked_at in pending.asked_at.items()
+        if agent not in pending.uncertain_at
+        and agent not in pending.denied_by}
+
+
 def _with_packet(waiting, packet):
     r"""Return the waiting packets with one more; it replaces its copy."""
     if any(_is_copy(item, packet) for item in waiting):
--- a/poplarstep/opaque_flows/surveys.py
+++ b/poplarstep/opaque_flows/surveys.py
@@ -73,7 +73,7 @@
             size, now, reserve=surveys.query_budget.burst // 2):
         return []
     state.counters.lookup_messages += len(agents)
-    pending.asked_at.update(agents)
+    pending.asked_at = {**agents, **pending.asked_at}
     query = message.FlowQuery(packet.flow, packet.acknowledged)
     return [message.ToNode(agent, query) for agent in agents]
 
--- a/poplarstep/opaque_flows/tests/test_search_disturbances.py
+++ b/poplarstep/opaque_flows/tests/test_search_disturbances.py
@@ -9,6 +9,7 @@
 from poplarstep.opaque_flows import offers
 from poplarstep.opaque_flows import pending_flows
 from poplarstep.opaque_flows.tests import fixtures
+from poplarstep.opaque_flows import uncertain_agents
 
 FLOW = fixtures.FLOW
 # Agents of the service of the route.
@@ -116,6 +117,24 @@
         assert len(messages) == len(set(messages))
 
 
+def test_silent_agent_blocks_for_its_limit_when_data_follows():
+    """Guards against a silent agent that holds up the packet twice as long.
+
+    A packet without data starts the search, and one with data restarts it.
+    """
+    state = make_balancer()
+    send(state, 0, data=0)
+    for now in (2, 2002):
+        for agent in AGENTS[1:]:
+            answer(state, agent, UNCERTAIN, now)
+        if now == 2:
+            sent = run(state, 2000)
+            send(state, 2000)
+    sent += run(state, 4000, first=2000)
+    first_at = min(now for now, _ in lookups_in(sent))
+    assert first_at <= uncertain_agents.SILENCE_LIMIT_MS + 100
+
+
 def test_answers_are_read_after_a_pause_before_packets_are_sent():
     """Guards against packets to wrong targets while the answer waits.
 
