Restart a search when the caller has reused the key of its flow

Cause: a caller that gives a flow up may open a new one from the same port through another balancer. If the data of the new flow came to a balancer that still looked for the earlier one, denials from before the opening counted, and the open flow was reset.

Change: a packet that acknowledges numbers of another target starts the search anew, as an opening packet does.

Answers that are still under way when the search starts anew are not told apart; they would have to be older than the opening and come after the data.

--- a/poplarstep/opaque_flows/pending_flows.py
+++ b/poplarstep/opaque_flows/pending_flows.py
@@ -128,7 +128,9 @@
     r"""Keep a packet of an unknown flow; return whether a search starts."""
     surveys = state.surveys
     pending = surveys.pending_by_flow.get(packet.flow)
-    if pending is not None and pending.tracked is not tracked:
+    if pending is not None and (
+            pending.tracked is not tracked
+            or _is_of_other_flow(packet, pending.packet)):
         # The flow was opened again: earlier answers are no proof.
         pending = None
         forget(state, packet.flow)
@@ -157,6 +159,18 @@
     return True
 
 
+def _is_of_other_flow(packet, earlier):
+    r"""Return whether the caller has reused the key of an earlier flow.
+
+    It has opened the new flow through another balancer. Its packets
+    acknowledge sequence numbers of another target.
+    """
+    numbers = packet.acknowledged, earlier.acknowledged
+    return not (
+        segments.is_in_window(*numbers)
+        or segments.is_in_window(*reversed(numbers)))
+
+
 def _silent_since(pending):
     r"""Return when each agent that has not answered was first asked."""
     return {
--- a/poplarstep/opaque_flows/tests/test_search_disturbances.py
+++ b/poplarstep/opaque_flows/tests/test_search_disturbances.py
@@ -31,11 +31,11 @@
             enabled, lambda now: now))
 
 
-def send(state, now, data=500, sequence=100):
+def send(state, now, data=500, sequence=100, acknowledged=ACKNOWLEDGED):
     """Process a caller's packet; return the messages to agents."""
     segment = fixtures.segment(data=data, sequence=sequence)
     segment.datagram = b'packet %d' % sequence
-    segment.acknowledged = ACKNOWLEDGED
+    segment.acknowledged = acknowledged
     return to_nodes(balancer.BALANCER.process(
         state, message.FromCaller(segment), now))
 
@@ -137,6 +137,30 @@
     assert first_at <= uncertain_agents.SILENCE_LIMIT_MS + 100
 
 
+@pytest.mark.parametrize('acknowledged, is_reset', [
+    pytest.param(ACKNOWLEDGED, True, id='same packet'),
+    pytest.param(ACKNOWLEDGED + 1400, True, id='later packet'),
+    pytest.param(ACKNOWLEDGED - 1400, True, id='earlier packet'),
+    pytest.param(ACKNOWLEDGED + 2**31, False, id='new flow'),
+])
+def test_denials_of_an_earlier_flow_with_the_same_key_are_no_proof(
+        acknowledged, is_reset):
+    """Guards against the reset of an open flow that reuses its caller's port.
+
+    The caller opens the new flow through another balancer while the last agent
+    restarts; its data comes to this balancer.
+    """
+    state = make_balancer()
+    send(state, 0)
+    for agent in AGENTS[1:]:
+        answer(state, agent, DENIED, 2)
+    run(state, 1000)
+    send(state, 1000, acknowledged=acknowledged)
+    answer(state, AGENTS[0], DENIED, 1002)
+    run(state, 1200, first=1000)
+    assert state.counters.dead_flows_reset == is_reset
+
+
 def test_answers_are_read_after_a_pause_before_packets_are_sent():
     """Guards against packets to wrong targets while the answer waits.
 
