Look for data although packets without data have used up the searches

Cause: a search for a packet without data ends as soon as all agents deny its flow, and counts. After 12 of them the balancer no longer looked for the flow, so its next request was not reset, and the caller waited until its timeout.

Change: data has 12 more searches. A flow still has a bounded number.

Ruled out: not counting these searches; each asks all agents, and a caller may send such packets without end.

The test failed before; opaque_flows passes.

--- a/poplarstep/opaque_flows/lookups.py
+++ b/poplarstep/opaque_flows/lookups.py
@@ -76,8 +76,10 @@
     flow = packet.flow
     route = state.catalogue.route_by_address.get(segments.service_of(flow))
     is_new = flow not in state.surveys.pending_by_flow
-    if route is None or (
-            is_new and tracked.lookup_count >= MAXIMUM_LOOKUPS) or (
+    # Searches for packets without data may end at once. They leave as many for
+    # the data, without which no dead flow is reset.
+    limit = MAXIMUM_LOOKUPS * (2 if packet.has_data else 1)
+    if route is None or (is_new and tracked.lookup_count >= limit) or (
             not pending_flows.add_packet(state, tracked, packet, now)):
         return []
     tracked.lookup_count += is_new
--- a/poplarstep/opaque_flows/tests/test_search_disturbances.py
+++ b/poplarstep/opaque_flows/tests/test_search_disturbances.py
@@ -182,6 +182,18 @@
     assert not lookups_in(run(state, resumed_at + 200, resumed_at + 20))
 
 
+def test_packets_without_data_do_not_prevent_the_reset():
+    """Guards against a dead flow whose searches are used up by such packets.
+
+    Each of them is denied at once and ends its search.
+    """
+    search = search_model.Search([search_model.Agent() for _ in range(65)])
+    search.call(FLOW, 0, range(0, 3000, 200), data=0)
+    search.call(FLOW, 3100)
+    search.run(3500)
+    assert search.resets
+
+
 @pytest.mark.parametrize('flows, targets, restarted, confirmed', [
     pytest.param(46, 88, True, True, id='turnos'),
     pytest.param(500, 100, True, True, id='all agents are uncertain'),
