--- a/poplarstep/opaque_flows/pending_flows.py
+++ b/poplarstep/opaque_flows/pending_flows.py
@@ -101,6 +101,8 @@
         Limits of the questions, and of the packets to uncertain agents.
     query_queue, packet_queue : dict
         Keys are the flows that wait for these, in the order of service.
+    check_queue : dict
+        Keys are the flows that are due for an evaluation, in the order of it.
     number : int
         Number of the latest survey.
     evaluate_at : int
@@ -109,8 +111,8 @@
 
     __slots__ = (
         'enabled', 'confirmed_since', 'pending_by_flow', 'query_budget',
-        'packet_budget', 'query_queue', 'packet_queue', 'number',
-        'evaluate_at')
+        'packet_budget', 'query_queue', 'packet_queue', 'check_queue',
+        'number', 'evaluate_at')
 
     def __init__(self, enabled, confirmed_since, lookup_rate):
         self.enabled = enabled
@@ -120,6 +122,7 @@
         self.packet_budget = lookup_budget.LookupBudget(lookup_rate)
         self.query_queue = {}
         self.packet_queue = {}
+        self.check_queue = {}
         self.number = 0
         self.evaluate_at = 0
 
@@ -135,7 +138,9 @@
     r"""Keep a packet of an unknown flow; return whether a search starts."""
     surveys = state.surveys
     pending = surveys.pending_by_flow.get(packet.flow)
-    if pending is not None and pending.tracked is not tracked:
+    if pending is not None and (
+            pending.tracked is not tracked
+            or _is_of_other_flow(packet, pending.packet)):
         # The flow was opened again: earlier answers are no proof.
         pending = None
         forget(state, packet.flow)
@@ -148,7 +153,9 @@
         tracked.waiting_packets = _with_packet(
             tracked.waiting_packets, packet)
         return False
+    silent_since = {}
     if pending is not None:
+        silent_since = _silent_since(pending)
         tracked.waiting_packets = _with_packet(
             tracked.waiting_packets, packet)
     elif len(surveys.pending_by_flow) >= MAXIMUM_PENDING_FLOWS:
@@ -158,9 +165,30 @@
     if not surveys.pending_by_flow:
         surveys.evaluate_at = now + CANDIDATES_ANSWER_MS
     surveys.pending_by_flow[packet.flow] = PendingFlow(tracked, now)
+    surveys.pending_by_flow[packet.flow].asked_at = silent_since
     return True
 
 
+def _is_of_other_flow(packet, earlier):
+    r"""Return whether the caller has reused the key of an earlier flow.
+
+    It has opened the new flow through another balancer. Its packets
+    acknowledge sequence numbers of another target.
+    """
+    numbers = packet.acknowledged, earlier.acknowledged
+    return not (
+        segments.is_in_window(*numbers)
+        or segments.is_in_window(*reversed(numbers)))
+
+
+def _silent_since(pending):
+    r"""Return when each agent that has not answered was first asked."""
+    return {
+        agent: asked_at for agent, asked_at in pending.asked_at.items()
+        if agent not in pending.uncertain_at
+        and agent not in pending.denied_by}
+
+
 def _with_packet(waiting, packet):
     r"""Return the waiting packets with one more; it replaces its copy."""
     if any(_is_copy(item, packet) for item in waiting):
@@ -184,6 +212,7 @@
     surveys = state.surveys
     surveys.query_queue.pop(flow, None)
     surveys.packet_queue.pop(flow, None)
+    surveys.check_queue.pop(flow, None)
     return surveys.pending_by_flow.pop(flow, None)
 
 
@@ -229,8 +258,9 @@
     if route is None:
         return None
     denied_by = pending.denied_by
-    return [
+    # Two targets have the same agent while one is renamed.
+    return list(dict.fromkeys(
         target.agent for service in model.services_of_flows(route)
         for target in state.catalogue.targets_by_service.get(
             service, {}).values()
-        if target.agent not in denied_by]
+        if target.agent not in denied_by))
