Deny a flow in a survey that its caller has opened elsewhere

Cause: an agent that started after its target, and whose offer of a flow came too late, forgets the flow when the caller's packets acknowledge another target. It then answered a survey with "uncertain". Its target still waits for the caller, and drops the packets without returning them, so a dead flow was not reset.

Change: a survey is answered with a denial, as a FlowQuery is.

Ruled out: a false denial. The agent saw the opening, and the caller's number is from another target. If the denial is lost, the agent is still uncertain about the next question.

--- a/poplarstep/opaque_flows/agent_lookups.py
+++ b/poplarstep/opaque_flows/agent_lookups.py
@@ -135,7 +135,8 @@
     for item in event.message.flows:
         if belongs_to_other_target(state, item):
             forget_flow(state, item, now)
-        if _holds(state, item.flow):
+            denied.append(item.flow)
+        elif _holds(state, item.flow):
             held.append(item.flow)
         elif _may_hold_unknown_flow(state, item.flow, now):
             uncertain.append(item.flow)
--- a/poplarstep/opaque_flows/tests/test_search_disturbances.py
+++ b/poplarstep/opaque_flows/tests/test_search_disturbances.py
@@ -4,6 +4,7 @@
 
 from poplarstep.configuration import model
 from poplarstep.core import timer
+from poplarstep.opaque_flows import agent as agents
 from poplarstep.opaque_flows import balancer
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import offers
@@ -194,6 +195,21 @@
     assert search.resets
 
 
+@pytest.mark.parametrize('question', [
+    message.FlowQuery(FLOW, 2**31),
+    message.FlowSurvey(1, (message.SurveyedFlow(FLOW, 2**31),))],
+    ids=['query', 'survey'])
+def test_agent_denies_a_flow_that_the_caller_opened_elsewhere(question):
+    """Guards against packets to a target that drops them without a return."""
+    state = fixtures.make_agent(sequence=9)
+    fixtures.send_to_agent(state, fixtures.offer())
+    agents.AGENT.process(state, message.FromTarget(
+        fixtures.segment(opening=True, sequence=1000)), 1)
+    reply, = fixtures.messages_of(
+        fixtures.send_to_agent(state, question, now=5), message.SurveyReply)
+    assert reply.denied == (FLOW,)
+
+
 @pytest.mark.parametrize('flows, targets, restarted, confirmed', [
     pytest.param(46, 88, True, True, id='turnos'),
     pytest.param(500, 100, True, True, id='all agents are uncertain'),
