Keep flows open in the soak and restart its agents in turn

Cause: the callers of the soak sent one request on each flow, and its nodes ran without the settings for flows that stay open, so it could not show the fault of docs/open_flow_recovery.md, section 1.A, on the real programs.

Change: profiles of settings, used by the seeds in turn. The profile open-flows enables request-queue, load-reports, locality, avoid-failing, dead-flows and, where the build has it, known-flows; its sessions send up to 20 requests on one flow with pauses of up to 8 s, and all agents are restarted two at a time. A new check, among those with bounds of time, reports flows whose packets miss their target. With dead-flows a reset is no violation if a target was killed or stopped since the flow began; without it the check is as strict as before.

Ruled out: the rolling restart as one of the drawn faults, which would change the faults of all seeds. A session's requests count from the start of its flow in the check of undisturbed requests: a fault in a pause may have ended it.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -22,6 +22,13 @@
 DATA_CENTRE_OUT_S = 3.0
 # Callers are served again at the latest this long after the end of a fault.
 RECOVERY_S = 6.0
+# Invariant 1 of docs/hard_load.md: within this time as many packets of an open
+# flow reach other targets, and none reaches its own.
+WRONG_TARGET_S, WRONG_PACKETS = 2.0, 3
+# A flow is exempt for this time after a fault of its target or its agent other
+# than a graceful restart.
+AFTER_FAULT_S = 5.0
+GRACEFUL_FAULTS = frozenset(('stop', 'rolling'))
 
 CHECKS = registry.Registry('check')
 # Checks with time limits, which an overloaded machine can exceed by itself.
@@ -30,6 +37,7 @@
     'cold targets get no more flows than their limit',
     'a data centre that is out gets no new flow',
     'callers are served while no fault is in force',
+    'packets of an open flow reach its target',
 }
 
 
@@ -79,12 +87,14 @@
         Data centres that were taken out of service.
     injected_faults : list of InjectedFault
         Faults with the times at which they were in force.
+    resets_dead_flows : bool
+        Whether callers are reset when the target of their flow has ended.
     """
 
     __slots__ = (
         'attempts', 'entries_by_target', 'service_by_target',
         'data_centre_by_target', 'idempotent_by_service', 'stale_reads',
-        'evacuations', 'injected_faults')
+        'evacuations', 'injected_faults', 'resets_dead_flows')
 
     def __init__(self):
         self.attempts = []
@@ -95,6 +105,7 @@
         self.stale_reads = []
         self.evacuations = []
         self.injected_faults = []
+        self.resets_dead_flows = False
 
 
 def parse_journal(text):
@@ -135,10 +146,65 @@
 
 @CHECKS.register('open flows are not reset')
 def flow_resets(observed):
-    r"""Return the requests whose flow was reset after it had opened."""
+    r"""Return the requests whose flow was reset after it had opened.
+
+    Where dead flows are reset, a flow may have ended with a target that was
+    killed or stopped since the flow began.
+    """
     return ['%s was reset after its flow had opened' % item.identity
             for item in observed.attempts
-            if item.outcome == flow_callers.RESET]
+            if item.outcome == flow_callers.RESET
+            and not (observed.resets_dead_flows
+                     and _has_target_ended(observed, item))]
+
+
+def _has_target_ended(observed, attempt):
+    return any(
+        fault.process_name in observed.entries_by_target
+        and fault.kind in ('kill', 'stop')
+        and fault.ended_at > attempt.began_at
+        and fault.began_at < attempt.ended_at
+        for fault in observed.injected_faults)
+
+
+@CHECKS.register('packets of an open flow reach its target')
+def missed_targets(observed):
+    r"""Return the open flows whose packets reached other targets only."""
+    name_by_flow, own_by_flow = {}, collections.defaultdict(list)
+    wrong_by_flow = collections.defaultdict(list)
+    for name, entries in observed.entries_by_target.items():
+        for entry in entries:
+            if entry.fields[0] == 'packet':
+                name_by_flow[entry.fields[1]] = name
+                own_by_flow[entry.fields[1]].append(entry.logged_at)
+            elif entry.fields[0] == 'return':
+                wrong_by_flow[entry.fields[1]].append(entry.logged_at)
+    found = []
+    for flow, wrong in wrong_by_flow.items():
+        name = name_by_flow.get(flow)
+        for begun_at, last_at in zip(
+                sorted(wrong), sorted(wrong)[WRONG_PACKETS - 1:]):
+            until = begun_at + WRONG_TARGET_S
+            if name is None or last_at > until or (
+                    begun_at < own_by_flow[flow][0]) or any(
+                    begun_at - IN_FLIGHT_S <= at <= until
+                    for at in own_by_flow[flow]) or _is_disturbed(
+                    observed, name, begun_at, until):
+                continue
+            found.append('a flow of %s missed it from %.3f on' % (
+                name, begun_at))
+            break
+    return found
+
+
+def _is_disturbed(observed, target, began_at, ended_at):
+    r"""Return whether a target or its agent had a fault in or before."""
+    names = (target, target.replace('target', 'agent'))
+    return any(
+        item.process_name in names and item.kind not in GRACEFUL_FAULTS
+        and item.ended_at + AFTER_FAULT_S >= began_at
+        and item.began_at <= ended_at
+        for item in observed.injected_faults)
 
 
 @CHECKS.register('requests reach their service')
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,8 @@
 import signal
 import time
 
+import gevent
+
 from poplarstep.core import record
 from poplarstep.core import registry
 from soak import proxy as proxies
@@ -20,6 +22,8 @@
 
 # Range of the random durations of faults.
 MIN_FAULT_S, MAX_FAULT_S = 0.3, 4.0
+# Time between the restarts of two pairs of agents.
+ROLL_INTERVAL_S = 0.5
 # File size limit in bytes (RLIMIT_FSIZE) that simulates a full disk.
 FULL_DISK_BYTES = 1
 
@@ -128,6 +132,22 @@
     register_link_fault(link_fault_name)
 
 
+def roll_agents(system, sleep, injected_faults):
+    r"""Restart all agents, two at a time."""
+    names = system.names(systems.AGENT)
+    for position in range(0, len(names), 2):
+        began_at = time.monotonic()
+        pair = names[position:position + 2]
+        gevent.joinall([
+            gevent.spawn(system.terminate, name) for name in pair])
+        for name in pair:
+            system.run(name)
+        injected_faults.extend(
+            InjectedFault(name, 'rolling', began_at, time.monotonic())
+            for name in pair)
+        sleep(ROLL_INTERVAL_S)
+
+
 def draw(generator, system, count, end_s):
     r"""Return random faults in order of their start.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -38,6 +38,20 @@
 FINAL_REQUESTS = 40
 MIN_FINAL_ANSWERED_SHARE = 0.95
 START_TIMEOUT_S = 30.0
+# Callers that keep flows open, in profiles with settings.
+SESSIONS = 12
+REQUESTS_PER_SESSION = 20
+SESSION_INTERVAL_S = 0.2
+# A pause is short or, with the given probability, long.
+SHORT_PAUSE_S, LONG_PAUSE_S, LONG_PAUSE_SHARE = (0.05, 0.5), (2.0, 8.0), 0.2
+# Settings of nodes by name of the profile; seeds use the profiles in turn. A
+# setting that this build does not have is left out.
+PROFILES = {
+    'single-requests': {},
+    'open-flows': {
+        'known-flows': 'send', 'request-queue': 'fair', 'load-reports': 'on',
+        'locality': 'prefer', 'avoid-failing': 'on', 'dead-flows': 'reset'},
+}
 # Source ports of the callers' flows, used in turn.
 FIRST_PORT, LAST_PORT = 10_000, 60_000
 
@@ -119,6 +133,27 @@
             gevent.sleep(self.random.expovariate(REQUESTS_PER_SECOND))
         self.workers.join()
 
+    def run_session(self):
+        r"""Send requests on flows that stay open until ``stopped``."""
+        while not self.stopped:
+            service = self.random.choice(systems.SERVICES)
+            attempts = self._caller(service).session(
+                self._identities(), service.timeout_s, self._pause_s)
+            self.observed.attempts.extend(attempts)
+            gevent.sleep(SESSION_INTERVAL_S)
+
+    def _identities(self):
+        for _ in range(REQUESTS_PER_SESSION):
+            if self.stopped:
+                return
+            self.request_count += 1
+            yield 'r-%d' % self.request_count
+
+    def _pause_s(self):
+        is_long = self.random.random() < LONG_PAUSE_SHARE
+        return self.random.uniform(
+            *(LONG_PAUSE_S if is_long else SHORT_PAUSE_S))
+
     def start_request(self):
         r"""Start a request of a random service; return its greenlet."""
         service = self.random.choices(systems.SERVICES, [
@@ -127,19 +162,26 @@
         return self.workers.spawn(
             self._request, 'r-%d' % self.request_count, service)
 
-    def _request(self, identity, service):
-        caller = flow_callers.Caller(
+    def _caller(self, service):
+        return flow_callers.Caller(
             self.system.address_of(systems.CALLER, 0, 0).ip, self.ports,
             service.name, self.system.route_address(service),
             self.system.random_front)
-        attempts = caller.request(
+
+    def _request(self, identity, service):
+        attempts = self._caller(service).request(
             identity, service.idempotent, service.timeout_s)
         self.observed.attempts.extend(attempts)
         return attempts[-1].outcome == flow_callers.ANSWERED
 
 
+def profile_of(seed):
+    r"""Return the name of the profile that a seed uses by default."""
+    return list(PROFILES)[seed % len(PROFILES)]
+
+
 def run_seed(seed, folder, duration_s, fault_count, scale=1,
-             include_timed=True):
+             include_timed=True, profile=None):
     r"""Run one seed; return its ``Outcome``.
 
     Parameters
@@ -153,11 +195,15 @@
         Multiplies the numbers of balancers and targets.
     include_timed : bool
         Whether the checks in ``checks.TIMED_CHECKS`` run too.
+    profile : str or None
+        Name in ``PROFILES``; None takes that of ``profile_of``.
     """
+    flags = PROFILES[profile or profile_of(seed)]
     generator = random.Random(seed)
     observed = checks.Observations()
+    observed.resets_dead_flows = flags.get('dead-flows') == 'reset'
     with networks.reserve() as network:
-        system = systems.System(network, folder, seed, scale)
+        system = systems.System(network, folder, seed, scale, flags)
         schedule = ()
         try:
             system.start()
@@ -169,7 +215,8 @@
             traffic = Traffic(system, generator, observed)
             wait_until_served(operator, traffic)
             final_violations = _inject_faults(
-                system, operator, traffic, schedule, duration_s)
+                system, operator, traffic, schedule, duration_s,
+                sessions=SESSIONS * scale if flags else 0)
         finally:
             system.stop()
         _read_journals(system, observed)
@@ -205,10 +252,19 @@
     traffic.observed.attempts.clear()
 
 
-def _inject_faults(system, operator, traffic, schedule, duration_s):
-    r"""Inject the faults under load; return violations after the last one."""
+def _inject_faults(
+        system, operator, traffic, schedule, duration_s, sessions):
+    r"""Inject the faults under load; return violations after the last one.
+
+    With sessions all agents are restarted as well, one pair after the other.
+    """
     workers = [gevent.spawn(operator.run), gevent.spawn(traffic.run)]
+    workers += [gevent.spawn(traffic.run_session) for _ in range(sessions)]
     injections = pool.Group()
+    if sessions:
+        injections.add(gevent.spawn(
+            faults.roll_agents, system, gevent.sleep,
+            operator.observed.injected_faults))
     for item in schedule:
         injections.add(gevent.spawn_later(
             item.start_s, faults.inject, system, item, gevent.sleep,
@@ -264,13 +320,16 @@
               'faults begin')
 @click.option('--faults', 'fault_count', default=12,
               help='number of faults for each seed')
+@click.option('--profile', default=None, type=click.Choice(list(PROFILES)),
+              help='settings of the nodes and kind of the callers; by default '
+              'the profiles in turn')
 @click.option('--regressions', is_flag=True,
               help='run the seeds that failed before a fix')
 @click.option('--size', default=1, help='multiplies the numbers of '
               'balancers and targets')
 @click.option('--keep', default='out/soak', help='folder for the logs of '
               'seeds that failed')
-def main(seed, seeds, seconds, fault_count, regressions, size, keep):
+def main(seed, seeds, seconds, fault_count, profile, regressions, size, keep):
     r"""Inject seeded faults into the real programs on loopback."""
     # Without a handler a SIGTERM would leave the processes running.
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
@@ -282,7 +341,8 @@
     for number in numbers:
         folder = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
         try:
-            outcome = run_seed(number, folder, seconds, fault_count, size)
+            outcome = run_seed(
+                number, folder, seconds, fault_count, size, profile=profile)
         except TimeoutError as error:
             outcome = Outcome(number, (), {'start': [str(error)]}, 0, 0)
         click.echo('seed %d: %d faults, %d requests, %d answers, %s' % (
--- a/soak/system.py
+++ b/soak/system.py
@@ -23,6 +23,7 @@
 
 from poplarstep.core import address
 from poplarstep.core import record
+from poplarstep.programs import settings
 from soak import proxy as proxies
 
 # Kinds of process and of service addresses, as the number ``K`` in their
@@ -106,15 +107,18 @@
     failed_by_index : dict
         Number of the latest readiness checks that failed in a row, by index
         of the balancer.
+    flags : dict
+        Values of further settings by name; each node gets those of its role.
     """
 
     __slots__ = (
         'network', 'folder', 'scale', 'log', 'process_by_name',
         'proxy_by_name', 'rotation', 'random', 'failed_by_index',
-        'balancer_count')
+        'balancer_count', 'flags')
 
-    def __init__(self, network, folder, seed, scale=1):
+    def __init__(self, network, folder, seed, scale=1, flags=()):
         self.network = network
+        self.flags = dict(flags)
         self.folder = folder
         self.scale = scale
         self.log = open(folder / 'log', 'ab')
@@ -230,6 +234,10 @@
             '--advertised-address',
             str(self.address_of(kind, index, PROXY_PORT)),
             '--http-address', str(self.address_of(kind, index, HTTP_PORT))]
+        for flag, value in self.flags.items():
+            setting = settings.SETTING_BY_NAME.get(flag)
+            if setting is not None and role in setting.roles:
+                command += [setting.flag, value]
         for flag, value in flags.items():
             command += ['--' + flag, str(value)]
         return Process(name, kind, index, command)
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -18,13 +18,19 @@
 
 
 def make_observations(attempts=(), journal='', injected_faults=(),
-                      evacuations=(), stale_reads=()):
-    """Return observations of one target of ``dispatch`` in data centre a."""
+                      evacuations=(), stale_reads=(), other_journal='',
+                      resets_dead_flows=False):
+    """Return observations of two targets of ``dispatch`` in data centre a."""
     observed = checks.Observations()
     observed.attempts = list(attempts)
-    observed.entries_by_target = {'target-0': checks.parse_journal(journal)}
-    observed.service_by_target = {'target-0': 'dispatch'}
-    observed.data_centre_by_target = {'target-0': 'a'}
+    observed.entries_by_target = {
+        'target-0': checks.parse_journal(journal),
+        'target-1': checks.parse_journal(other_journal)}
+    observed.service_by_target = dict.fromkeys(
+        observed.entries_by_target, 'dispatch')
+    observed.data_centre_by_target = dict.fromkeys(
+        observed.entries_by_target, 'a')
+    observed.resets_dead_flows = resets_dead_flows
     observed.idempotent_by_service = {'dispatch': False, 'certs': True}
     observed.injected_faults = list(injected_faults)
     observed.evacuations = list(evacuations)
@@ -42,6 +48,10 @@
 RUN = '10.000 run r-1 dispatch dispatch\n'
 KILL = faults.InjectedFault('target-0', 'kill', 9.0, 9.5)
 OPENS = ''.join('10.%d00 open aa\n' % tenth for tenth in range(6))
+RETURNS = ''.join('20.%d00 return aa\n' % tenth for tenth in range(3))
+AGENT_ROLLED = faults.InjectedFault('agent-0', 'rolling', 18.0, 20.1)
+AGENT_KILLED = faults.InjectedFault('agent-0', 'kill', 15.0, 15.5)
+AGENT_KILLED_EARLIER = faults.InjectedFault('agent-0', 'kill', 13.0, 14.5)
 CASES = (
     # name, observations, name of the check that must report it or None
     ('a run without violations', make_observations([attempt()], RUN), None),
@@ -51,6 +61,26 @@
     ('a reset of an open flow', make_observations(
         [attempt(outcome=RESET)], injected_faults=[KILL]),
      'open flows are not reset'),
+    ('a reset of a flow whose target was killed', make_observations(
+        [attempt(outcome=RESET, began_at=9.2)], injected_faults=[KILL],
+        resets_dead_flows=True), None),
+    ('a reset of a flow that began after the kill', make_observations(
+        [attempt(outcome=RESET)], injected_faults=[KILL],
+        resets_dead_flows=True),
+     'open flows are not reset'),
+    ('packets of an open flow at another target', make_observations(
+        journal='10.000 packet aa\n22.100 packet aa\n',
+        other_journal=RETURNS, injected_faults=[
+            AGENT_KILLED_EARLIER, AGENT_ROLLED]),
+     'packets of an open flow reach its target'),
+    ('packets at another target and then at the own one', make_observations(
+        journal='10.000 packet aa\n21.900 packet aa\n',
+        other_journal=RETURNS), None),
+    ('packets at another target after a kill of the agent', make_observations(
+        journal='10.000 packet aa\n', other_journal=RETURNS,
+        injected_faults=[AGENT_KILLED]), None),
+    ('packets of a flow that opened later', make_observations(
+        journal='30.000 packet aa\n', other_journal=RETURNS), None),
     ('a run at another service', make_observations(
         [attempt(service='certs')], '10.000 run r-1 certs dispatch\n'),
      'requests reach their service'),
--- a/soak/tests/test_run.py
+++ b/soak/tests/test_run.py
@@ -8,6 +8,7 @@
 
 from poplarstep.opaque_flows import admission
 from poplarstep.programs import operator_interface
+from poplarstep.programs import settings
 from soak import faults
 from soak import operators
 from soak import run
@@ -65,6 +66,19 @@
         assert admission.cold_limit(state, service) == systems.COLD_LIMIT
 
 
+@pytest.mark.parametrize('role', ['flow-balancer', 'flow-agent'])
+def test_profiles_name_settings_of_nodes(role):
+    """Guards against a profile whose settings no node gets.
+
+    ``known-flows`` comes with part B of docs/open_flow_recovery.md.
+    """
+    for flags in run.PROFILES.values():
+        assert set(flags) - {'known-flows'} <= set(settings.SETTING_BY_NAME)
+    assert any(
+        role in settings.SETTING_BY_NAME[name].roles
+        for name in set(run.PROFILES['open-flows']) - {'known-flows'})
+
+
 @pytest.mark.timeout(300)
 def test_short_run_passes_all_checks(tmp_path):
     """Guards against violations of the guarantees under faults."""
--- a/standins/flow_callers.py
+++ b/standins/flow_callers.py
@@ -1,4 +1,4 @@
-r"""Callers of opaque flows for tests: one flow for each request.
+r"""Callers of opaque flows for tests, with one or many requests a flow.
 
 Explanation
 ===========
@@ -9,7 +9,8 @@
 exponential backoff, until it is answered or its deadline passes. The balancer
 is picked for each packet, so the packets of a flow may pass through several
 balancers. A failed attempt is retried on a new flow only if the flow did not
-open or the request is idempotent.
+open or the request is idempotent. A session is a flow that stays open for
+many requests with pauses; its attempts are not retried.
 """
 
 import time
@@ -21,6 +22,7 @@
 from poplarstep.core import record
 from poplarstep.edge import plain_format
 from poplarstep.opaque_flows import segment as segments
+from standins import flow_target
 
 # Times of the opening packets, from the start of the attempt.
 OPENING_SEND_TIMES_S = (0.0, 0.2, 0.6)
@@ -45,7 +47,8 @@
     r"""Outcome of one attempt at a request, on a flow of its own.
 
     Times are monotonic clock times in seconds; ``opened_at`` is None if the
-    flow did not open.
+    flow did not open. The requests of a session share its flow, and
+    ``began_at``, which is when the flow began.
     """
 
     __slots__ = (
@@ -107,6 +110,29 @@
 
     def attempt(self, identity, deadline):
         r"""Send a request on a new flow; return the ``Attempt``."""
+        attempt, = self._run_flow([identity], b'', lambda: deadline, None)
+        return attempt
+
+    def session(self, identities, timeout_s, pause):
+        r"""Send requests on one flow; return the list of attempts.
+
+        Parameters
+        ==========
+
+        identities : iterable of str
+            Identities of the requests; none is sent after a failed one.
+        timeout_s : float
+            Timeout of each request, from its start.
+        pause : callable
+            Returns the seconds from an answer to the next request.
+        """
+        return self._run_flow(
+            identities, flow_target.KEEP_SUFFIX,
+            lambda: time.monotonic() + timeout_s, pause)
+
+    def _run_flow(self, identities, suffix, next_deadline, pause):
+        r"""Send requests on a new flow; return the list of attempts."""
+        attempts, requests = [], []
         began_at = time.monotonic()
         flow_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         with flow_socket:
@@ -114,16 +140,29 @@
             flow = segments.flow_key(
                 address.Address(*flow_socket.getsockname()),
                 self.service_address)
+            deadline = next_deadline()
             outcome, flow_number = self._open(
                 flow_socket, flow, began_at, deadline)
-            opened_at = None
-            if outcome == OPENED:
-                opened_at = time.monotonic()
-                outcome = self._exchange(
-                    flow_socket, flow, flow_number, identity, deadline)
-            return Attempt(
-                identity, self.service, outcome, began_at, opened_at,
-                time.monotonic())
+            opened_at = time.monotonic() if outcome == OPENED else None
+            for identity in identities:
+                if attempts:
+                    gevent.sleep(pause())
+                    deadline = next_deadline()
+                requests.append(b'%s %s%s' % (
+                    identity.encode(), self.service.encode(), suffix))
+                if opened_at is not None:
+                    outcome = self._exchange(
+                        flow_socket, flow, flow_number, requests, deadline)
+                attempts.append(Attempt(
+                    identity, self.service, outcome, began_at, opened_at,
+                    time.monotonic()))
+                if outcome != ANSWERED:
+                    return attempts
+            if opened_at is not None:
+                self._send(flow_socket, flow, plain_format.CLOSING
+                           | plain_format.ACKNOWLEDGING, b'', flow_number,
+                           len(requests))
+            return attempts
 
     def _open(self, flow_socket, flow, began_at, deadline):
         r"""Open a flow; return the outcome and the target's flow number."""
@@ -146,32 +185,36 @@
                 break
         return UNOPENED, None
 
-    def _exchange(self, flow_socket, flow, flow_number, identity, deadline):
-        request = b'%s %s' % (identity.encode(), self.service.encode())
+    def _exchange(self, flow_socket, flow, flow_number, requests, deadline):
+        r"""Send the latest one of a flow's requests; return the outcome."""
         retransmit_s = INITIAL_RETRANSMIT_S
+        *earlier, expected = [
+            b'%s answered by %s' % (request, self.service.encode())
+            for request in requests]
         while time.monotonic() < deadline:
-            self._send(flow_socket, flow, plain_format.ACKNOWLEDGING, request,
-                       flow_number)
-            segment = self._receive(
-                flow_socket, min(deadline, time.monotonic() + retransmit_s))
+            self._send(flow_socket, flow, plain_format.ACKNOWLEDGING,
+                       requests[-1], flow_number, len(requests))
+            resend_at = min(deadline, time.monotonic() + retransmit_s)
             retransmit_s *= 2
+            segment = self._receive(flow_socket, resend_at)
+            while segment is not None and not segment.reset and (
+                    segment.datagram[plain_format.HEADER_BYTES:] in earlier):
+                # The copy of an answer to an earlier request.
+                segment = self._receive(flow_socket, resend_at)
             if segment is None or segment.opening:
                 continue
             if segment.reset:
                 return RESET
             answer = segment.datagram[plain_format.HEADER_BYTES:]
-            self._send(
-                flow_socket, flow, plain_format.CLOSING
-                | plain_format.ACKNOWLEDGING, b'', flow_number)
-            expected = b'%s answered by %s' % (request, self.service.encode())
             return ANSWERED if answer == expected else MISMATCHED
         return UNANSWERED
 
-    def _send(self, flow_socket, flow, flags, data=b'', flow_number=0):
+    def _send(self, flow_socket, flow, flags, data=b'', flow_number=0,
+              sequence=0):
         balancer = self.pick_balancer()
         try:
             flow_socket.sendto(
-                plain_format.encode(flow, flags, data, 0, flow_number),
+                plain_format.encode(flow, flags, data, sequence, flow_number),
                 (balancer.ip, balancer.port))
         except ConnectionError:
             # The balancer of an earlier packet is down (ICMP port
--- a/standins/flow_target.py
+++ b/standins/flow_target.py
@@ -4,13 +4,17 @@
 ===========
 
 A target exchanges packets of ``poplarstep.edge.plain_format`` with the agent
-on its host and posts heartbeats to it. A flow carries one request, with the
-payload ``ID SERVICE``, and its answer. The target runs as many requests
-concurrently as it has slots and queues up to ``QUEUE_LENGTH`` more; an
-opening packet beyond this limit is returned to the agent. The events that
-the checks of a test need are appended to a journal, one line each, before
-they take effect: ``start``, ``open``, ``run`` and ``leave``, with the time of
-the monotonic clock, which all processes of a host share.
+on its host and posts heartbeats to it. A flow carries requests, one after the
+other, with the payload ``ID SERVICE``, and their answers. The target closes
+the flow with the answer unless the payload ends with the word ``keep``. It
+runs as many requests concurrently as it has slots and queues up to
+``QUEUE_LENGTH`` more; an opening packet beyond this limit is returned to the
+agent. It accepts TCP connections, which show its agent that it runs. The
+events that the checks of a test need are appended to a journal, one line
+each, before they take effect: ``start``, ``open``, ``run``, ``leave``,
+``packet`` for a caller's later packet of an own flow and ``return`` for one of
+another flow, with the time of the monotonic clock, which all processes of a
+host share.
 """
 
 import collections
@@ -24,6 +28,7 @@
 import click
 import gevent
 from gevent import lock
+from gevent import server
 from gevent import socket
 from geventhttpclient import client as http_client
 
@@ -43,13 +48,16 @@
 REQUEST_TIMEOUT_S = 1.4
 # Beyond this number the target forgets its oldest flow.
 MAXIMUM_FLOWS = 5000
+# End of a request after which the flow stays open.
+KEEP_SUFFIX = b' keep'
 
 
 class Target:
     r"""Flows and requests of a target; times in seconds.
 
     ``answer_by_flow`` holds None until the request of a flow arrives, ``b''``
-    while the request runs, then the answer. ``number_by_flow`` holds the
+    while the request runs, then the answer. ``requests_by_flow`` holds the
+    requests of each flow, the latest last. ``number_by_flow`` holds the
     random number that the target has drawn for each flow. The caller
     acknowledges it in every later packet, so that a target can tell its own
     flows from those that another target opened. ``opened_at_by_flow`` holds
@@ -60,7 +68,7 @@
         'name', 'service', 'work_s', 'slots', 'cold_s', 'started_at',
         'socket', 'outbound', 'journal', 'slot_lock', 'answer_by_flow',
         'number_by_flow', 'random', 'sequence', 'leaving',
-        'opened_at_by_flow')
+        'opened_at_by_flow', 'requests_by_flow')
 
     def __init__(self, name, service, work_s, slots, cold_s, journal):
         self.name = name
@@ -73,6 +81,7 @@
         self.slot_lock = lock.BoundedSemaphore(slots)
         self.answer_by_flow = collections.OrderedDict()
         self.number_by_flow = {}
+        self.requests_by_flow = {}
         self.opened_at_by_flow = {}
         self.random = random.SystemRandom()
         self.sequence = 0
@@ -91,6 +100,9 @@
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.bind((bound.ip, bound.port))
         self.outbound = (outbound.ip, outbound.port)
+        server.StreamServer(
+            (bound.ip, bound.port), lambda opened, source: opened.close()
+        ).start()
 
     def serve(self):
         r"""Handle datagrams until the process ends."""
@@ -107,10 +119,13 @@
                     segment.flow) != segment.acknowledged:
                 # The flow is unknown here, or another target also opened it
                 # and the caller acknowledges that target's number.
+                self.write_journal('return', segment.flow.hex())
                 self.return_packet(segment)
-            elif segment.data_bytes:
-                gevent.spawn(
-                    self.run, segment.flow, data[plain_format.HEADER_BYTES:])
+            else:
+                self.write_journal('packet', segment.flow.hex())
+                if segment.data_bytes:
+                    gevent.spawn(self.run, segment.flow,
+                                 data[plain_format.HEADER_BYTES:])
 
     def open(self, segment):
         r"""Accept a flow, or return its packet if the queue is full."""
@@ -122,9 +137,11 @@
             self.answer_by_flow[segment.flow] = None
             self.opened_at_by_flow[segment.flow] = time.monotonic()
             self.number_by_flow[segment.flow] = self.random.getrandbits(32)
+            self.requests_by_flow[segment.flow] = []
             if len(self.answer_by_flow) > MAXIMUM_FLOWS:
                 oldest, _ = self.answer_by_flow.popitem(last=False)
                 del self.number_by_flow[oldest]
+                del self.requests_by_flow[oldest]
         self.send(segment.flow, plain_format.OPENING)
 
     def count_unanswered(self):
@@ -139,8 +156,13 @@
 
     def run(self, flow, request):
         r"""Run the request of a flow, or resend its answer."""
+        requests = self.requests_by_flow[flow]
+        if request in requests[:-1]:
+            # A late copy; the caller has the answer.
+            return
         answer = self.answer_by_flow.get(flow)
-        if answer is None:
+        if request not in requests:
+            requests.append(request)
             self.answer_by_flow[flow] = answer = b''
             self.opened_at_by_flow.pop(flow, None)
             with self.slot_lock:
@@ -149,7 +171,8 @@
             answer = b'%s answered by %s' % (request, self.service.encode())
             self.answer_by_flow[flow] = answer
         if answer:
-            self.send(flow, plain_format.CLOSING, answer)
+            keeps_open = request.endswith(KEEP_SUFFIX)
+            self.send(flow, 0 if keeps_open else plain_format.CLOSING, answer)
 
     def send(self, flow, flags, data=b''):
         r"""Send a packet of an open flow."""
