--- a/poplarstep/opaque_flows/tests/schedules.py
+++ b/poplarstep/opaque_flows/tests/schedules.py
@@ -128,15 +128,24 @@
 SCHEDULE_BY_NAME = {item.name: item for item in SCHEDULES}
 
 
+def flags_of(seed):
+    r"""Return the settings of a seed by name.
+
+    ``read_settings`` ignores those that this build does not have.
+    """
+    return {'known-flows': 'send' if seed % 2 else 'off'}
+
+
 def run(name, seed, flags=()):
     r"""Run a schedule with a seed; return its ``World``.
 
-    ``flags`` holds pairs of a setting of balancers or agents and its value.
+    ``flags`` holds pairs of a setting of balancers or agents and its value,
+    which take precedence over those of the seed.
     """
     schedule = SCHEDULE_BY_NAME[name]
     world = schedule_world.World(
         seed, schedule.targets, schedule.balancers, schedule.callers,
-        schedule.loss, dict(flags))
+        schedule.loss, {**flags_of(seed), **dict(flags)})
     for at, step in schedule.steps:
         world.driver.at(at, functools.partial(
             STEPS.entry_by_name[step], world))
@@ -165,7 +174,8 @@
               'may be repeated, default all')
 @click.option('--processes', default=2, help='processes that run schedules')
 @click.option('--setting', 'flags', multiple=True, help='NAME=VALUE of a '
-              'setting of balancers or agents; may be repeated')
+              'setting of balancers or agents; may be repeated; by default '
+              'odd seeds enable known-flows')
 @click.option('--trace', is_flag=True, help='print traces of violations')
 def main(seeds, first, names, processes, flags, trace):
     r"""Run random schedules and print a table; fail on a violation."""
