Exempt flows of stopped targets from the soak's check of missed targets

The check is new and was wrong.

Change: flows of a target that was killed or stopped since their first packet are exempt; a test has the case.

Ruled out: counting every fault of a target as its end, which would hide flows that outlive a pause.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -29,6 +29,8 @@
 # than a graceful restart.
 AFTER_FAULT_S = 5.0
 GRACEFUL_FAULTS = frozenset(('stop', 'rolling'))
+# Faults with which the flows of a target end.
+ENDING_FAULTS = frozenset(('kill', 'stop'))
 
 CHECKS = registry.Registry('check')
 # Checks with time limits, which an overloaded machine can exceed by itself.
@@ -160,11 +162,16 @@
 
 def _has_target_ended(observed, attempt):
     return any(
-        fault.process_name in observed.entries_by_target
-        and fault.kind in ('kill', 'stop')
-        and fault.ended_at > attempt.began_at
-        and fault.began_at < attempt.ended_at
-        for fault in observed.injected_faults)
+        _has_ended(observed, name, attempt.began_at, attempt.ended_at)
+        for name in observed.entries_by_target)
+
+
+def _has_ended(observed, target, began_at, ended_at):
+    r"""Return whether a target was killed or stopped within an interval."""
+    return any(
+        item.process_name == target and item.kind in ENDING_FAULTS
+        and item.ended_at > began_at and item.began_at < ended_at
+        for item in observed.injected_faults)
 
 
 @CHECKS.register('packets of an open flow reach its target')
@@ -188,8 +195,9 @@
             if name is None or last_at > until or (
                     begun_at < own_by_flow[flow][0]) or any(
                     begun_at - IN_FLIGHT_S <= at <= until
-                    for at in own_by_flow[flow]) or _is_disturbed(
-                    observed, name, begun_at, until):
+                    for at in own_by_flow[flow]) or _has_ended(
+                    observed, name, own_by_flow[flow][0], until) or (
+                    _is_disturbed(observed, name, begun_at, until)):
                 continue
             found.append('a flow of %s missed it from %.3f on' % (
                 name, begun_at))
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -52,6 +52,7 @@
 AGENT_ROLLED = faults.InjectedFault('agent-0', 'rolling', 18.0, 20.1)
 AGENT_KILLED = faults.InjectedFault('agent-0', 'kill', 15.0, 15.5)
 AGENT_KILLED_EARLIER = faults.InjectedFault('agent-0', 'kill', 13.0, 14.5)
+TARGET_STOPPED = faults.InjectedFault('target-0', 'stop', 12.0, 13.0)
 CASES = (
     # name, observations, name of the check that must report it or None
     ('a run without violations', make_observations([attempt()], RUN), None),
@@ -79,6 +80,9 @@
     ('packets at another target after a kill of the agent', make_observations(
         journal='10.000 packet aa\n', other_journal=RETURNS,
         injected_faults=[AGENT_KILLED]), None),
+    ('packets of a flow whose target was stopped', make_observations(
+        journal='10.000 packet aa\n', other_journal=RETURNS,
+        injected_faults=[TARGET_STOPPED]), None),
     ('packets of a flow that opened later', make_observations(
         journal='30.000 packet aa\n', other_journal=RETURNS), None),
     ('a run at another service', make_observations(
