Send no packet whose copy is overdue to uncertain agents

Change: callers repeat a packet after 200 ms and double the interval; a packet whose copy is overdue by 100 ms waits for the copy. Ruled out: asking all agents again before the packet is sent (during a rolling restart some agent is always silent, so it would not be sent for seconds).

--- a/poplarstep/opaque_flows/tests/test_unknown_flows.py
+++ b/poplarstep/opaque_flows/tests/test_unknown_flows.py
@@ -159,6 +159,23 @@
             for earlier, later in zip(times, times[1:]))
 
 
+@pytest.mark.parametrize('repeated_after, is_sent', [
+    ((0,), False), ((0, 200, 600, 1400), True), ((0, 200, 600), False)])
+def test_packet_whose_copy_is_overdue_reaches_no_wrong_target(
+        repeated_after, is_sent):
+    """Guards against old packets of a caller that uses another balancer.
+
+    Load: an agent restarts, so the packet for uncertain agents waits for
+    1.6 s; the flow's own target has got it through another balancer by then.
+    """
+    uncertain = make_agents(10, restarted=True)
+    search = search_model.Search(
+        make_agents(20) + uncertain + make_agents(1, up_at=1600))
+    search.call(FLOW, 0, repeated_after)
+    search.run(2400)
+    assert all(bool(agent.received) is is_sent for agent in uncertain)
+
+
 @pytest.mark.parametrize('restarted', [False, True])
 def test_packet_without_data_follows_the_same_steps(restarted):
     """Guards against the last packet of a closed flow that is answered.
--- a/poplarstep/opaque_flows/uncertain_agents.py
+++ b/poplarstep/opaque_flows/uncertain_agents.py
@@ -14,6 +14,9 @@
 these have returned it, or a little later without an answer. The bytes that
 may follow are limited, so that they are sent before an open flow counts as
 broken.
+
+A packet of which a copy is overdue is not sent: its caller has been answered,
+or sends its packets through another balancer now.
 """
 
 import math
@@ -22,6 +25,10 @@
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import pending_flows
 
+# Callers repeat a packet after this time, and double the interval each time.
+FIRST_COPY_MS = 200
+# How late a copy may be.
+COPY_MARGIN_MS = 100
 # Time between two packets of a flow to the same uncertain agent. An open flow
 # is broken when three packets within 2 s reach wrong targets only.
 PACKET_INTERVAL_MS = 1000
@@ -52,6 +59,12 @@
         for agent in silent(pending, agents)), default=-math.inf)
 
 
+def is_copy_overdue(pending, now):
+    r"""Return whether the caller would have repeated the latest packet."""
+    interval = pending.packet_at - pending.arrived_at + FIRST_COPY_MS
+    return now - pending.packet_at > interval + COPY_MARGIN_MS
+
+
 def due_agents(pending, agents, now):
     r"""Return the uncertain agents among ``agents`` that may get the packet.
 
@@ -59,6 +72,8 @@
     has sent one since, and the agent has been asked since and still can't
     know.
     """
+    if is_copy_overdue(pending, now):
+        return []
     passed_at = pending.tracked.passed_at_by_agent
     return [
         agent for agent in agents
