State the types that a static check can't infer

Cause: mypy reports attributes and names that do not exist, and it reported these places falsely: a message of an effect is annotated as Record, and the codec computed types in expressions that look like type annotations.

Tests assert the class of the message before they read its fields, which is as strict as before: another class failed with an AttributeError and now fails the assertion. The codec builds its types with types.GenericAlias and typing.Union. Lists of records of several classes are declared as such.

Ruled out: annotating the messages of effects as Any, which hides the reads of messages of the wrong class.

No test runs the changed switch of scenarios/switches.py or benchmarks/capacity.py.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -23,6 +23,7 @@
 from poplarstep.configuration import machine as machines
 from poplarstep.configuration import model
 from poplarstep.core import address
+from poplarstep.core import record
 from poplarstep.core import registry
 from poplarstep.dissemination import message as dissemination
 from poplarstep.dissemination import publisher
@@ -62,7 +63,7 @@
 
 def make_changes(targets):
     r"""Return the changes that create targets of 16 services."""
-    bodies = [
+    bodies: list[record.Record] = [
         model.Service('service-%d' % number, number, address.Address(
             '10.0.0.%d' % number, 5000), 0, 600_000, (), 1)
         for number in range(1, 17)]
--- a/poplarstep/control/tests/test_compaction.py
+++ b/poplarstep/control/tests/test_compaction.py
@@ -30,9 +30,10 @@
     for index in range(1, entries + 1):
         produced = application.committed(state, consensus.Committed(
             index, 1, entry_payload(codec, index, document_bytes), 0), 0)
-        taken.extend(
-            item.message.index for item in produced
-            if isinstance(item, effect.Requeue))
+        for item in produced:
+            if isinstance(item, effect.Requeue):
+                assert isinstance(item.message, consensus.SnapshotTaken)
+                taken.append(item.message.index)
     return taken
 
 
--- a/poplarstep/control/tests/test_observer.py
+++ b/poplarstep/control/tests/test_observer.py
@@ -54,20 +54,21 @@
         now = 1000
         while True:
             polls = [
-                item for item in self.feed(
+                (item.destination, item.message) for item in self.feed(
                     timer.Tick(subscriber.TICK), now)
                 if isinstance(item, effect.SendControl) and isinstance(
                     item.message, dissemination.Poll)]
             if polls:
                 break
             now += subscriber.TICK_PERIOD_MS
+        destination, poll = polls[0]
         answer = dissemination.Update(
-            polls[0].message.sequence, 3,
+            poll.sequence, 3,
             (model.Change(3, model.DataCentre('maadi', 1, True, 3)),), None,
             LEASE_MS, LEADER, (MEMBER, LEADER))
         self.feed(effect.Received(
-            polls[0].destination, answer.replace(**changes)), now)
-        return polls[0].destination
+            destination, answer.replace(**changes)), now)
+        return destination
 
 
 @pytest.mark.parametrize('event, reply_type', REQUESTS)
--- a/poplarstep/core/stage.py
+++ b/poplarstep/core/stage.py
@@ -137,7 +137,7 @@
 
     def _find_handlers(self, message_type):
         r"""Return, for each position, the next step that has a handler."""
-        next_steps = [None] * (len(self.steps) + 1)
+        next_steps: list[tuple | None] = [None] * (len(self.steps) + 1)
         for position in reversed(range(len(self.steps))):
             stage, state = self.steps[position]
             handler = stage.handler_by_type.get(message_type)
--- a/poplarstep/dissemination/tests/test_starting.py
+++ b/poplarstep/dissemination/tests/test_starting.py
@@ -27,10 +27,10 @@
     """Return ``(time, destination, sequence)`` of unanswered polls."""
     sent = []
     for now in range(0, until, subscriber.TICK_PERIOD_MS):
-        sent.extend(
-            (now, item.destination, item.message.sequence)
-            for item in subscriber.tick(state, TICK, now)
-            if isinstance(item, effect.SendControl))
+        for item in subscriber.tick(state, TICK, now):
+            if isinstance(item, effect.SendControl):
+                assert isinstance(item.message, message.Poll)
+                sent.append((now, item.destination, item.message.sequence))
     return sent
 
 
--- a/poplarstep/edge/codec.py
+++ b/poplarstep/edge/codec.py
@@ -259,11 +259,13 @@
     def _sequence(self, origin, item):
         inner = self._conversion(item)
         if inner.to_wire is None:
-            wire_type = tuple[inner.wire_type, ...] if origin is tuple \
-                else list[inner.wire_type]
-            return Conversion(wire_type)
+            arguments = (
+                (inner.wire_type, ...) if origin is tuple
+                else (inner.wire_type,))
+            return Conversion(types.GenericAlias(
+                tuple if origin is tuple else list, arguments))
         return Conversion(
-            list[inner.wire_type],
+            types.GenericAlias(list, (inner.wire_type,)),
             lambda values: [inner.to_wire(value) for value in values],
             lambda values: origin(
                 inner.from_wire(value) for value in values))
@@ -271,7 +273,7 @@
     def _dictionary(self, arguments):
         key_type, value_type = arguments
         inner = self._conversion(value_type)
-        wire_type = dict[key_type, inner.wire_type]
+        wire_type = types.GenericAlias(dict, (key_type, inner.wire_type))
         if inner.to_wire is None:
             return Conversion(wire_type)
         return Conversion(
@@ -334,7 +336,7 @@
 
 def _optional(inner):
     r"""Return the conversion of ``X | None``."""
-    wire_type = typing.Optional[inner.wire_type]
+    wire_type = typing.Union[tuple([inner.wire_type, None])]
     if inner.to_wire is None:
         return Conversion(wire_type)
     return Conversion(
--- a/poplarstep/edge/history.py
+++ b/poplarstep/edge/history.py
@@ -22,8 +22,8 @@
 # checked as in a message.
 SampleLine = msgspec.defstruct(
     'SampleLine', [
-        (name, hint) + ((sample.Sample.__init__.__defaults__[0],)
-                        if name == 'kind' else ())
+        (name, hint, sample.Sample.__init__.__defaults__[0])
+        if name == 'kind' else (name, hint)
         for name, hint in typing.get_type_hints(
             sample.Sample.__init__).items()])
 
--- a/poplarstep/edge/tests/test_compression.py
+++ b/poplarstep/edge/tests/test_compression.py
@@ -8,6 +8,7 @@
 from poplarstep.configuration import catalogue as catalogues
 from poplarstep.configuration import model
 from poplarstep.core import address
+from poplarstep.core import record
 from poplarstep.dissemination import message
 from poplarstep.edge import codec
 from poplarstep.edge import wire
@@ -19,7 +20,8 @@
 def make_update(routes, targets=136):
     """Return the first update of a node: a whole configuration."""
     catalogue = catalogues.Catalogue()
-    bodies = [model.Service('service', 1, None, 0, 2000, (), 1, 0.0)]
+    bodies: list[record.Record] = [
+        model.Service('service', 1, None, 0, 2000, (), 1, 0.0)]
     bodies.extend(model.Route(
         'r-%06x' % (number * 7919), number,
         address.Address('198.18.%d.%d' % divmod(number, 250), 443), True, 2,
--- a/poplarstep/opaque_flows/tests/test_known_flows.py
+++ b/poplarstep/opaque_flows/tests/test_known_flows.py
@@ -78,11 +78,15 @@
 
 def notices(ticks, destination=AGENT):
     """Return the flows in each message to an agent, and the time of each."""
-    return [
-        (number * balancer.TICK_PERIOD_MS, [
-            known.flow for known in item.message.flows])
-        for number, effects in enumerate(ticks) for item in effects
-        if type(item) is message.ToNode and item.destination == destination]
+    sent = []
+    for number, effects in enumerate(ticks):
+        for item in effects:
+            if (type(item) is message.ToNode
+                    and item.destination == destination):
+                assert isinstance(item.message, message.KnownFlows)
+                sent.append((number * balancer.TICK_PERIOD_MS, [
+                    known.flow for known in item.message.flows]))
+    return sent
 
 
 @pytest.mark.parametrize('setting, number, changes, is_told', [
@@ -204,6 +208,7 @@
         counts.append(table.count)
         for item in effects:
             if type(item) is message.ToNode:
+                assert isinstance(item.message, message.KnownFlows)
                 sent += [known.flow for known in item.message.flows]
         assert len(effects) <= 2
     assert sent == held * 2
--- a/scenarios/switches.py
+++ b/scenarios/switches.py
@@ -84,6 +84,7 @@
         produced = original(state, event, now)
         for item in produced:
             if isinstance(item, effect.SendPacket):
+                assert isinstance(item.packet, packet.Forwarded)
                 service = item.packet.service
                 selectable = state.catalogue.selectable_by_service.get(service)
                 if selectable:
