--- a/poplarstep/opaque_flows/admission.py
+++ b/poplarstep/opaque_flows/admission.py
@@ -18,7 +18,7 @@
 START_WINDOW_MS = 1100
 
 
-def rejection_reason(state, service, now):
+def rejection_reason(state: states.FlowAgentState, service, now):
     r"""Return why no flow of a service may start now, or an empty string."""
     target = state.target
     if target is None or state.departed or (
@@ -37,14 +37,14 @@
     return ''
 
 
-def is_cold(state, now):
+def is_cold(state: states.FlowAgentState, now):
     r"""Return whether the target is, or may be, in cold start."""
     return (
         now < state.target.cold_until
         or state.back_in_service_at is not None)
 
 
-def cold_limit(state, service):
+def cold_limit(state: states.FlowAgentState, service):
     r"""Return how many flows a cold target may start in one second.
 
     A service whose configuration names no rate has no limit: the slots bound
@@ -54,7 +54,7 @@
         service.cold_per_second * state.cold_factor + state.cold_slack))
 
 
-def starts_in_window(state, now):
+def starts_in_window(state: states.FlowAgentState, now):
     r"""Return the number of flows that started in the last window.
 
     An earlier run of this agent may have started flows that this run does
@@ -71,7 +71,7 @@
     return len(starts)
 
 
-def overload_reason(state, offered):
+def overload_reason(state: states.FlowAgentState, offered):
     r"""Return ``OVERLOADED`` if an offer can't be served in time, or ''."""
     if len(state.queue.offer_by_flow) >= MAXIMUM_QUEUED_OFFERS:
         return message.OVERLOADED
@@ -82,7 +82,7 @@
     return ''
 
 
-def expected_wait_ms(state, priority):
+def expected_wait_ms(state: states.FlowAgentState, priority):
     r"""Return the expected time until a new flow of a priority gets a slot."""
     ahead = state.occupancy.count() + state.queue.count_ahead(priority)
     return wait_ms(ahead, states.slots(state), state.occupancy.service_us)
@@ -102,12 +102,12 @@
     return excess * service_us / slots / 1000
 
 
-def is_queued(state, flow):
+def is_queued(state: states.FlowAgentState, flow):
     r"""Return whether a new flow is queued."""
     return flow in state.queue.offer_by_flow
 
 
-def has_free_slot(state):
+def has_free_slot(state: states.FlowAgentState):
     r"""Return whether the target has a free slot and the queue is empty."""
     return not state.queue_length and (
         state.occupancy.count() < states.slots(state))
--- a/poplarstep/opaque_flows/agent.py
+++ b/poplarstep/opaque_flows/agent.py
@@ -46,7 +46,7 @@
 
 
 @AGENT.handles(dissemination.CatalogueChanged)
-def catalogue_changed(state, event, now):
+def catalogue_changed(state: states.FlowAgentState, event, now):
     r"""Record when the data centre comes back into service.
 
     The target may have become cold meanwhile; it is treated as cold until
@@ -60,7 +60,7 @@
 
 
 @AGENT.handles(message.FromNode)
-def from_node(state, event, now):
+def from_node(state: states.FlowAgentState, event, now):
     r"""Pass a message of a balancer to its handler; ignore other messages."""
     handler = agent_flows.BALANCER_MESSAGES.handler_by_type.get(
         type(event.message))
@@ -72,7 +72,7 @@
 
 
 @agent_flows.BALANCER_MESSAGES.handles(message.Offer)
-def offer(state, event, now):
+def offer(state: states.FlowAgentState, event, now):
     r"""Start a new flow, queue it, or reject it.
 
     An offer of a flow that has started already is a retransmission and is
@@ -113,7 +113,7 @@
 
 
 @agent_flows.BALANCER_MESSAGES.handles(message.FlowPacket)
-def flow_packet(state, event, now):
+def flow_packet(state: states.FlowAgentState, event, now):
     r"""Forward a later packet; the target returns it if it lacks the flow."""
     packet = event.message
     if agent_lookups.belongs_to_other_target(state, packet):
@@ -132,14 +132,14 @@
 
 
 @agent_flows.BALANCER_MESSAGES.handles(message.OfferWithdrawn)
-def offer_withdrawn(state, event, now):
+def offer_withdrawn(state: states.FlowAgentState, event, now):
     r"""Remove a tied flow that the other agent has started."""
     effects = agent_ties.withdraw(state, event, now)
     return effects + agent_flows.start_queued_flows(state, now)
 
 
 @AGENT.handles(message.FromTarget)
-def from_target(state, event, now):
+def from_target(state: states.FlowAgentState, event, now):
     r"""Send a target's packet to the caller; handle a returned packet."""
     load_reports.observe(state, now)
     segment = event.segment
@@ -173,7 +173,8 @@
     return effects
 
 
-def _handle_returned(state, segment, flow, now):
+def _handle_returned(
+        state: states.FlowAgentState, segment, flow: states.Flow, now):
     r"""Tell the balancer that the target returned a packet of a flow."""
     state.counters.returned += 1
     if flow is None:
@@ -211,7 +212,7 @@
 
 
 @AGENT.handles(timer.Tick)
-def tick(state, event, now):
+def tick(state: states.FlowAgentState, event, now):
     r"""Expire requests, start queued flows and remove idle flows."""
     if event.name != TICK:
         return [event]
@@ -231,7 +232,7 @@
     return effects
 
 
-def _sweep(state, now):
+def _sweep(state: states.FlowAgentState, now):
     r"""Remove idle flows.
 
     A flow that the target has closed is kept for the same time: the last
--- a/poplarstep/opaque_flows/agent_flows.py
+++ b/poplarstep/opaque_flows/agent_flows.py
@@ -24,7 +24,7 @@
 WAITING = stage.Stage('entries of the queue')
 
 
-def start(state, balancer, offered, now):
+def start(state: states.FlowAgentState, balancer, offered, now):
     r"""Forward an opening packet to the target."""
     state.counters.taken += 1
     add_flow(state, offered.flow, states.Flow(balancer, offered, now), now)
@@ -48,14 +48,14 @@
             ('version', state.catalogue.version)))]
 
 
-def add_flow(state, key, flow, now):
+def add_flow(state: states.FlowAgentState, key, flow: states.Flow, now):
     if len(state.flow_by_key) >= MAXIMUM_FLOWS:
         state.table_full_at = now
         del state.flow_by_key[next(iter(state.flow_by_key))]
     state.flow_by_key[key] = flow
 
 
-def queue_offer(state, balancer, offered, now):
+def queue_offer(state: states.FlowAgentState, balancer, offered, now):
     state.counters.queued += 1
     route = state.catalogue.route_by_address.get(
         segments.service_of(offered.flow))
@@ -67,7 +67,7 @@
     return [accepted(state, balancer, offered.flow)]
 
 
-def count_start(state, flow, now):
+def count_start(state: states.FlowAgentState, flow, now):
     r"""Count the start of a request against its caller."""
     if not state.queue.holds_requests:
         return
@@ -79,25 +79,26 @@
                 * request_queue.objective_ms(route)), now)
 
 
-def accepted(state, balancer, key):
+def accepted(state: states.FlowAgentState, balancer, key):
     return message.ToNode(
         balancer, message.FlowAccepted(key, states.load(state)))
 
 
-def rejected(state, balancer, key, reason):
+def rejected(state: states.FlowAgentState, balancer, key, reason):
     state.counters.not_taken += 1
     return message.ToNode(
         balancer, message.FlowRejected(key, reason, states.load(state)))
 
 
-def rejection_log(state, key, reason):
+def rejection_log(state: states.FlowAgentState, key, reason):
     return effect.LogEvent('flow-not-taken', (
         ('flow', segments.describe(key)), ('reason', reason),
         ('occupied', state.occupancy.count()), ('waiting', state.queue_length),
         ('version', state.catalogue.version)))
 
 
-def forward(state, balancer, packet, now, is_copy=False):
+def forward(
+        state: states.FlowAgentState, balancer, packet, now, is_copy=False):
     r"""Forward a packet; a copy of an earlier one occupies no slot."""
     flow = state.flow_by_key.get(packet.flow)
     if flow is None:
@@ -128,7 +129,7 @@
     return effects + (start_queued_flows(state, now) if freed else [])
 
 
-def _record_data(flow, packet):
+def _record_data(flow: states.Flow, packet):
     r"""Record the sequence number of data; return whether it is no copy.
 
     Without sequence numbers a copy can't be told from new data.
@@ -141,7 +142,7 @@
     return True
 
 
-def start_queued_flows(state, now):
+def start_queued_flows(state: states.FlowAgentState, now):
     r"""Start waiting entries while the target has capacity, in order."""
     effects = []
     if state.target is None:
@@ -158,7 +159,7 @@
 
 
 @WAITING.handles(request_queue.QueuedOffer)
-def start_queued_offer(state, queued_offer, now):
+def start_queued_offer(state: states.FlowAgentState, queued_offer, now):
     r"""Start a queued flow, or reject it if it may not start any more."""
     state.queue_ms.observe(now - queued_offer.queued_at)
     reason = admission.rejection_reason(
--- a/poplarstep/opaque_flows/agent_lookups.py
+++ b/poplarstep/opaque_flows/agent_lookups.py
@@ -9,6 +9,8 @@
 those of flows that it does not hold.
 """
 
+import typing
+
 from poplarstep.configuration import model
 from poplarstep.opaque_flows import agent_flows
 from poplarstep.opaque_flows import agent_requests
@@ -16,8 +18,11 @@
 from poplarstep.opaque_flows import segment as segments
 from poplarstep.opaque_flows import target_probe
 
+if typing.TYPE_CHECKING:
+    from poplarstep.opaque_flows import agent_state as states
+
 
-def belongs_to_other_target(state, packet):
+def belongs_to_other_target(state: 'states.FlowAgentState', packet):
     r"""Return whether the caller has opened the flow at another target.
 
     After a late offer two targets may answer the opening packet. The caller
@@ -30,7 +35,7 @@
         packet.acknowledged, flow.first_sequence)
 
 
-def forget_flow(state, packet, now):
+def forget_flow(state: 'states.FlowAgentState', packet, now):
     r"""Remove a flow that the caller has opened at another target."""
     state.counters.disowned += 1
     del state.flow_by_key[packet.flow]
@@ -39,7 +44,7 @@
 
 
 @agent_flows.BALANCER_MESSAGES.handles(message.FlowLookup)
-def flow_lookup(state, event, now):
+def flow_lookup(state: 'states.FlowAgentState', event, now):
     r"""Forward a packet if the target holds, or may hold, the flow."""
     packet = event.message.packet
     if belongs_to_other_target(state, packet):
@@ -55,7 +60,7 @@
     return agent_requests.forward(state, event.source, packet, now)
 
 
-def _holds(state, key):
+def _holds(state: 'states.FlowAgentState', key):
     r"""Return whether this agent knows that the target got the flow.
 
     A flow of which this agent has only passed a packet on may be at another
@@ -67,7 +72,7 @@
         flow.claimed or flow.offer is not None or flow.answered)
 
 
-def _may_hold_unknown_flow(state, flow, now):
+def _may_hold_unknown_flow(state: 'states.FlowAgentState', flow, now):
     r"""Return whether the target may hold a flow that is not in the table.
 
     An earlier run of this agent may have started it, or it was removed from a
@@ -88,7 +93,7 @@
 may_hold_unknown_flow = _may_hold_unknown_flow
 
 
-def _was_offered_to_service(state, flow):
+def _was_offered_to_service(state: 'states.FlowAgentState', flow):
     r"""Return whether the flow's route belongs or belonged to the target.
 
     True without a configuration, which tells neither.
@@ -101,7 +106,7 @@
 
 
 @agent_flows.BALANCER_MESSAGES.handles(message.FlowQuery)
-def flow_query(state, event, now):
+def flow_query(state: 'states.FlowAgentState', event, now):
     r"""Tell a balancer whether the target holds, or may hold, a flow."""
     query = event.message
     if belongs_to_other_target(state, query):
@@ -116,7 +121,7 @@
     return _denial(state, event)
 
 
-def _denial(state, event):
+def _denial(state: 'states.FlowAgentState', event):
     r"""Return the answer that the target does not hold the flow of a query.
 
     A balancer sends packets to uncertain agents when all have answered. With
@@ -129,7 +134,7 @@
 
 
 @agent_flows.BALANCER_MESSAGES.handles(message.FlowSurvey)
-def flow_survey(state, event, now):
+def flow_survey(state: 'states.FlowAgentState', event, now):
     r"""Tell a balancer which flows the target holds, may hold or lacks."""
     held, uncertain, denied = [], [], []
     for item in event.message.flows:
--- a/poplarstep/opaque_flows/agent_requests.py
+++ b/poplarstep/opaque_flows/agent_requests.py
@@ -29,7 +29,7 @@
 QUIET_MS = 1000
 
 
-def forward(state, balancer, packet, now):
+def forward(state: states.FlowAgentState, balancer, packet, now):
     r"""Forward a packet of a flow, or hold it until a slot is free."""
     if not state.queue.holds_requests:
         return agent_flows.forward(state, balancer, packet, now)
@@ -56,7 +56,7 @@
         route, balancer, packet, now), now)
 
 
-def _begins_further_request(flow, packet):
+def _begins_further_request(flow: states.Flow, packet):
     r"""Return whether a packet with data begins a request after another one.
 
     The caller has sent data before, and the target has answered since then.
@@ -69,13 +69,13 @@
         and request_queue.is_after(packet.sequence, flow.caller_sequence))
 
 
-def _is_busy(state):
+def _is_busy(state: states.FlowAgentState):
     r"""Return whether a new request has to wait."""
     return len(state.queue) > 0 or state.occupancy.count() >= (
         states.slots(state) + agent_flows.EXTRA_STARTS)
 
 
-def _is_ending(state, now):
+def _is_ending(state: states.FlowAgentState, now):
     r"""Return whether the target or this agent may end soon."""
     target = state.target
     return (
@@ -84,7 +84,7 @@
         or states.is_data_centre_out(state))
 
 
-def _hold(state, flow, entry, now):
+def _hold(state: states.FlowAgentState, flow: states.Flow, entry, now):
     r"""Hold a request, and start what has capacity now."""
     state.counters.held_requests += 1
     flow.balancer = entry.balancer
@@ -98,7 +98,7 @@
     return effects + agent_flows.start_queued_flows(state, now)
 
 
-def _add_packet(state, held, balancer, packet, now):
+def _add_packet(state: states.FlowAgentState, held, balancer, packet, now):
     r"""Add a later packet of a flow to its held request.
 
     A copy of a held packet replaces it, a copy of an earlier one passes. If
@@ -123,7 +123,7 @@
         state, balancer, packet, now)
 
 
-def _pass(state, balancer, packet, now):
+def _pass(state: states.FlowAgentState, balancer, packet, now):
     r"""Forward a packet now.
 
     A copy of a request that the target has got does not occupy it again. A
@@ -136,14 +136,14 @@
 
 
 @agent_flows.WAITING.handles(request_queue.HeldRequest)
-def start_held_request(state, held, now):
+def start_held_request(state: states.FlowAgentState, held, now):
     r"""Forward a held request, or drop it if its caller has given up."""
     if now >= held.deadline:
         return _drop(state, held, now)
     return _release(state, held, now)
 
 
-def _release(state, held, now):
+def _release(state: states.FlowAgentState, held, now):
     state.queue.held_ms.observe(now - held.queued_at)
     agent_flows.count_start(state, held.flow, now)
     return [
@@ -151,7 +151,7 @@
         for item in _pass(state, held.balancer, packet, now)]
 
 
-def _drop(state, held, now):
+def _drop(state: states.FlowAgentState, held, now):
     r"""Drop a request whose caller has given up; a close is forwarded."""
     state.counters.held_expired += 1
     effects = [_log(state, 'held-request-expired', (
@@ -163,7 +163,7 @@
     return effects
 
 
-def release_flow(state, key, now):
+def release_flow(state: states.FlowAgentState, key, now):
     r"""Forward the held request of a flow, if there is one."""
     held = state.queue.remove_held(key)
     if held is None:
@@ -172,7 +172,7 @@
     return _release(state, held, now)
 
 
-def release_all(state, now):
+def release_all(state: states.FlowAgentState, now):
     r"""Forward all held requests, in order of arrival."""
     keys = list(state.queue.held_by_flow)
     effects = [item for key in keys for item in release_flow(state, key, now)]
@@ -182,7 +182,7 @@
     return effects
 
 
-def release_if_ending(state, now):
+def release_if_ending(state: states.FlowAgentState, now):
     r"""Forward all held requests if the target or this agent may end soon."""
     if not state.queue.held_by_flow or not _is_ending(state, now):
         return []
@@ -195,7 +195,7 @@
     return math.inf if quiet_at is None else quiet_at
 
 
-def tick(state, now):
+def tick(state: states.FlowAgentState, now):
     r"""Drop expired requests and log the end of a phase of holding."""
     queue = state.queue
     effects = [
@@ -209,7 +209,7 @@
     return effects
 
 
-def _log(state, name, fields):
+def _log(state: states.FlowAgentState, name, fields):
     counters = state.counters
     return effect.LogEvent(name, fields + (
         ('occupied', state.occupancy.count()),
--- a/poplarstep/opaque_flows/agent_state.py
+++ b/poplarstep/opaque_flows/agent_state.py
@@ -217,7 +217,7 @@
         self.revision = 0
         self.started_at = now
         self.target = None
-        self.flow_by_key = {}
+        self.flow_by_key: dict[bytes, Flow] = {}
         self.occupancy = occupancy.Occupancy()
         self.queue = request_queue.make_request_queue(
             settings['request-queue'])
@@ -253,18 +253,18 @@
     return FlowAgentState(settings, catalogue, incarnation, now)
 
 
-def is_data_centre_out(state):
+def is_data_centre_out(state: 'FlowAgentState'):
     r"""Return whether the data centre of this agent is out of service."""
     centre = state.catalogue.data_centre_by_name.get(state.data_centre)
     return centre is not None and centre.out
 
 
-def slots(state):
+def slots(state: 'FlowAgentState'):
     r"""Return how many requests the target runs concurrently, at least 1."""
     return max(1, state.target.slots) if state.target else 1
 
 
-def load(state):
+def load(state: 'FlowAgentState'):
     r"""Return the ``Load`` that answers to balancers report."""
     report = state.demand.complete(
         state.occupancy.load(state.queue_length, slots(state)))
@@ -272,7 +272,7 @@
     return report
 
 
-def active_flows(state, now):
+def active_flows(state: 'FlowAgentState', now):
     r"""Return the number of open flows with a packet in the last moments.
 
     Other open flows wait for their callers. They outlive a restart of the
@@ -284,19 +284,19 @@
         for flow in state.flow_by_key.values())
 
 
-def open_flows(state):
+def open_flows(state: 'FlowAgentState'):
     r"""Return the number of flows that the target holds."""
     return sum(
         flow.answered and flow.ended_at is None
         for flow in state.flow_by_key.values())
 
 
-def unfinished_requests(state):
+def unfinished_requests(state: 'FlowAgentState'):
     r"""Return the number of requests queued here or run by the target."""
     return state.queue_length + state.occupancy.count()
 
 
-def may_stop(state, now):
+def may_stop(state: 'FlowAgentState', now):
     r"""Return whether a stop of this agent cuts no request and no transfer.
 
     False until the agent has processed ``presence.Leave``, which announces
@@ -308,7 +308,7 @@
         unfinished_requests(state) or active_flows(state, now))
 
 
-def _is_end_known(state):
+def _is_end_known(state: 'FlowAgentState'):
     r"""Return whether control hosts know of an announced end of the target.
 
     Otherwise balancers would wait for the answers of a stopped agent until
--- a/poplarstep/opaque_flows/agent_ties.py
+++ b/poplarstep/opaque_flows/agent_ties.py
@@ -64,7 +64,7 @@
         self.is_open = False
 
 
-def start_answers(state, balancer, offered):
+def start_answers(state: states.FlowAgentState, balancer, offered):
     r"""Return the messages that tell that a flow has started."""
     load = states.load(state)
     if offered.tied_agent is None:
@@ -77,7 +77,7 @@
         message.ToNode(balancer, message.FlowStarted(offered.flow, load))]
 
 
-def withdraw(state, event, now):
+def withdraw(state: states.FlowAgentState, event, now):
     r"""Remove a flow that the other agent has started from the queue."""
     notice = event.message
     flow = state.flow_by_key.get(notice.flow)
@@ -102,13 +102,13 @@
             ('version', state.catalogue.version)))]
 
 
-def _withdrawn(state, balancer, key):
+def _withdrawn(state: states.FlowAgentState, balancer, key):
     state.counters.offers_withdrawn += 1
     return message.ToNode(balancer, message.FlowRejected(
         key, message.WITHDRAWN, states.load(state)))
 
 
-def _take_queued(state, key, tied_agent=None):
+def _take_queued(state: states.FlowAgentState, key, tied_agent=None):
     r"""Remove a tied flow from the queue and return its offer, or None.
 
     ``tied_agent`` is the agent that the offer must name, None for any.
@@ -120,7 +120,7 @@
     return state.queue.remove_offer(key)
 
 
-def _remember(state, key, balancer, now):
+def _remember(state: states.FlowAgentState, key, balancer, now):
     withdrawals = state.withdrawal_by_flow
     withdrawals.pop(key, None)
     while withdrawals and (
@@ -131,7 +131,8 @@
     withdrawals[key] = Withdrawal(balancer, now)
 
 
-def _handle_other_start(state, event, flow):
+def _handle_other_start(
+        state: states.FlowAgentState, event, flow: states.Flow):
     r"""Handle a notice for a flow that has started here as well."""
     notice, started = event.message, flow.tie
     if started is None or started.agent != event.source:
@@ -151,7 +152,7 @@
         started.agent, message.OfferWithdrawn(key, is_open=True))
 
 
-def confirm_open(flow, packet):
+def confirm_open(flow: states.Flow, packet):
     r"""Tell the other agent that the caller has opened the flow here.
 
     The caller acknowledges the sequence number of the target whose answer it
@@ -168,7 +169,7 @@
     return [_open_here(packet.flow, started)]
 
 
-def rejects_offer(state, balancer, offered, now):
+def rejects_offer(state: states.FlowAgentState, balancer, offered, now):
     r"""Return whether an offered flow has started at the other agent.
 
     The balancer that tied the flow may offer it again, untied, after the
@@ -186,19 +187,19 @@
     return False
 
 
-def reject_offer(state, balancer, offered):
+def reject_offer(state: states.FlowAgentState, balancer, offered):
     r"""Tell a balancer that the other agent has started the flow."""
     return [_withdrawn(state, balancer, offered.flow)]
 
 
-def _withdrawal(state, key, now):
+def _withdrawal(state: states.FlowAgentState, key, now):
     withdrawal = state.withdrawal_by_flow.get(key)
     if withdrawal is None or now - withdrawal.withdrawn_at > MEMORY_MS:
         return None
     return withdrawal
 
 
-def is_held_elsewhere(state, packet, now):
+def is_held_elsewhere(state: states.FlowAgentState, packet, now):
     r"""Return whether a later packet is of a flow that started elsewhere.
 
     Callers send packets with data only on an open flow, so a tied flow that
--- a/poplarstep/opaque_flows/balancer.py
+++ b/poplarstep/opaque_flows/balancer.py
@@ -15,6 +15,8 @@
 poplarstep.opaque_flows.lookups : finds the agent of an unknown flow.
 """
 
+import typing
+
 from poplarstep.core import effect
 from poplarstep.core import stage
 from poplarstep.core import timer
@@ -31,6 +33,9 @@
 from poplarstep.opaque_flows import surveys
 from poplarstep.opaque_flows import tied_offers
 
+if typing.TYPE_CHECKING:
+    from poplarstep.opaque_flows import balancer_state as states
+
 TICK = 'steering'
 TICK_PERIOD_MS = 20
 # Agents answer an offer at once; this allows for the network and a busy host.
@@ -45,7 +50,7 @@
 
 
 @BALANCER.handles(message.FromCaller)
-def from_caller(state, event, now):
+def from_caller(state: 'states.FlowBalancerState', event, now):
     r"""Forward one packet of a caller."""
     state.counters.packets += 1
     segment = event.segment
@@ -77,7 +82,9 @@
         segment.acknowledged, segment.sequence)
 
 
-def _forward(state, tracked, packet, now):
+def _forward(
+        state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow',
+        packet, now):
     r"""Send a packet to the agent that holds its flow, or look it up."""
     if tracked.agent is None:
         return lookups.look_up(state, tracked, packet, now)
@@ -86,14 +93,14 @@
 
 
 @BALANCER.handles(message.FromNode)
-def from_node(state, event, now):
+def from_node(state: 'states.FlowBalancerState', event, now):
     r"""Pass an answer of an agent to its handler; ignore other messages."""
     handler = AGENT_MESSAGES.handler_by_type.get(type(event.message))
     return handler(state, event, now) if handler else ()
 
 
 @AGENT_MESSAGES.handles(message.FlowAccepted)
-def flow_accepted(state, event, now):
+def flow_accepted(state: 'states.FlowBalancerState', event, now):
     r"""Record which agent holds a flow."""
     answer = event.message
     tracked = state.tracked_by_flow.get(answer.flow)
@@ -116,7 +123,9 @@
     return _found(state, answer.flow, tracked, event.source)
 
 
-def _found(state, flow, tracked, agent):
+def _found(
+        state: 'states.FlowBalancerState', flow, tracked: 'states.TrackedFlow',
+        agent):
     r"""Send the waiting packets of a flow to the agent that holds it."""
     tracked.agent = agent
     tracked.lookup_count = 0
@@ -125,7 +134,7 @@
 
 
 @AGENT_MESSAGES.handles(message.SurveyReply)
-def survey_reply(state, event, now):
+def survey_reply(state: 'states.FlowBalancerState', event, now):
     r"""Evaluate an agent's answer to a survey."""
     effects = []
     for flow in surveys.process_reply(
@@ -136,7 +145,9 @@
     return effects
 
 
-def _record_acceptance(state, tracked, event, now):
+def _record_acceptance(
+        state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow',
+        event, now):
     offered = tracked.offered_to
     if offered is not None and offered.agent == event.source:
         state.placement.answered(offered.number, event.message.load, now)
@@ -149,7 +160,7 @@
 
 
 @AGENT_MESSAGES.handles(message.FlowStarted)
-def flow_started(state, event, now):
+def flow_started(state: 'states.FlowBalancerState', event, now):
     r"""Record which agent has started a tied flow."""
     effects = flow_accepted(state, event, now)
     tracked = state.tracked_by_flow.get(event.message.flow)
@@ -157,7 +168,7 @@
 
 
 @AGENT_MESSAGES.handles(message.FlowUncertain)
-def flow_uncertain(state, event, now):
+def flow_uncertain(state: 'states.FlowBalancerState', event, now):
     r"""Evaluate the answer of an agent that may hold a flow."""
     tracked = state.tracked_by_flow.get(event.message.flow)
     if tracked is None or tracked.agent is not None:
@@ -166,7 +177,7 @@
 
 
 @AGENT_MESSAGES.handles(message.FlowRejected)
-def flow_rejected(state, event, now):
+def flow_rejected(state: 'states.FlowBalancerState', event, now):
     r"""Offer a rejected flow to the next target, or refuse it."""
     answer = event.message
     tracked = state.tracked_by_flow.get(answer.flow)
@@ -184,7 +195,9 @@
     return _after_rejection(state, tracked, answer, now)
 
 
-def _tied_offer_rejected(state, tracked, event, now):
+def _tied_offer_rejected(
+        state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow',
+        event, now):
     r"""Offer a tied flow again if neither of its offers can open it."""
     answer = event.message
     if tracked.tie.find(event.source) == (None, None):
@@ -198,7 +211,9 @@
     return effects + _offer_or_refuse(state, tracked, answer, now)
 
 
-def _after_rejection(state, tracked, answer, now):
+def _after_rejection(
+        state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow',
+        answer, now):
     if answer.reason == message.WITHDRAWN:
         # The flow was tied by another balancer and has started elsewhere.
         tracked.may_be_open = True
@@ -206,7 +221,9 @@
     return _offer_or_refuse(state, tracked, answer, now)
 
 
-def _offer_or_refuse(state, tracked, answer, now):
+def _offer_or_refuse(
+        state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow',
+        answer, now):
     if answer.reason == message.OVERLOADED:
         # The flow is refused now, while the caller has time to retry.
         offers.record_overload(state, tracked, now)
@@ -215,7 +232,9 @@
     return offers.next_offer(state, answer.flow, tracked, now)
 
 
-def _offer_again(state, tracked, event, now):
+def _offer_again(
+        state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow',
+        event, now):
     r"""Offer a flow again that an agent accepted and rejected later."""
     if tracked is None or tracked.agent != event.source or (
             not tracked.opening_datagram):
@@ -225,7 +244,7 @@
 
 
 @AGENT_MESSAGES.handles(message.LoadReport)
-def load_report(state, event, now):
+def load_report(state: 'states.FlowBalancerState', event, now):
     r"""Record the load of a target whose flows this balancer forwards."""
     target = state.agents.target(event.source)
     if target is not None:
@@ -235,7 +254,7 @@
 
 
 @AGENT_MESSAGES.handles(message.ReturnedPacket)
-def returned_packet(state, event, now):
+def returned_packet(state: 'states.FlowBalancerState', event, now):
     r"""Forward a packet that a target returned to the right agent."""
     answer = event.message
     state.counters.strays += 1
@@ -282,7 +301,7 @@
 
 
 @BALANCER.handles(timer.Tick)
-def tick(state, event, now):
+def tick(state: 'states.FlowBalancerState', event, now):
     r"""Handle timeouts of offers, start due rounds and remove idle flows."""
     if event.name != TICK:
         return [event]
@@ -304,7 +323,9 @@
     return effects
 
 
-def _offer_timed_out(state, flow, tracked, now):
+def _offer_timed_out(
+        state: 'states.FlowBalancerState', flow, tracked: 'states.TrackedFlow',
+        now):
     log_entries = []
     for target in tied_offers.take_unanswered(tracked):
         state.counters.silent_offers += 1
@@ -323,7 +344,7 @@
     return log_entries + offers.next_offer(state, flow, tracked, now)
 
 
-def _sweep(state, now):
+def _sweep(state: 'states.FlowBalancerState', now):
     r"""Remove the flows that have been idle for too long."""
     policy = state.catalogue.policy
     idle_ms = policy.flow_idle_ms if policy else DEFAULT_IDLE_MS
@@ -337,7 +358,7 @@
 
 
 @BALANCER.handles(dissemination.CatalogueChanged)
-def catalogue_changed(state, event, now):
+def catalogue_changed(state: 'states.FlowBalancerState', event, now):
     r"""Remove the estimates of targets that no longer exist.
 
     Opening packets that came before the configuration are offered now.
@@ -351,7 +372,7 @@
     return _offer_early_openings(state, now)
 
 
-def _offer_early_openings(state, now):
+def _offer_early_openings(state: 'states.FlowBalancerState', now):
     r"""Offer the flows that waited for a confirmed configuration."""
     if not state.early_opening_by_flow or not state.confirmed(now):
         return []
--- a/poplarstep/opaque_flows/balancer_state.py
+++ b/poplarstep/opaque_flows/balancer_state.py
@@ -89,7 +89,7 @@
     def __init__(self, now):
         self.round_count = 0
         self.looked_up_at = 0
-        self.waiting_packets = ()
+        self.waiting_packets: tuple = ()
         self.passed_at_by_agent = NOT_PASSED
         self.is_late = False
         self.late_deadline = 0
@@ -227,7 +227,7 @@
         self.confirmed = confirmed
         self.placement = placement
         self.random = random
-        self.tracked_by_flow = {}
+        self.tracked_by_flow: dict[bytes, TrackedFlow] = {}
         self.early_opening_by_flow = {}
         self.tie_limits = tied_offers.make_tie_limits(tied_percent)
         self.late_blocked_until = 0
--- a/poplarstep/opaque_flows/claims.py
+++ b/poplarstep/opaque_flows/claims.py
@@ -34,7 +34,7 @@
 
 
 @agent_flows.BALANCER_MESSAGES.handles(message.KnownFlows)
-def known_flows(state, event, now):
+def known_flows(state: states.FlowAgentState, event, now):
     r"""Add the flows that the target may hold to the table as claimed."""
     claims = state.claims
     for item in event.message.flows:
@@ -47,7 +47,7 @@
     return []
 
 
-def _is_claimable(state, item, now):
+def _is_claimable(state: states.FlowAgentState, item, now):
     r"""Return whether the current instance of the target may hold a flow."""
     if state.target is None or not state.target.started_at:
         return False
@@ -61,7 +61,7 @@
         and agent_lookups.may_hold_unknown_flow(state, item.flow, now))
 
 
-def _claim(state, balancer, item, now):
+def _claim(state: states.FlowAgentState, balancer, item, now):
     r"""Mark a flow as claimed.
 
     The table has an entry already if a packet of the flow was passed to the
@@ -79,7 +79,7 @@
     state.counters.flows_claimed += 1
 
 
-def withdraw(state, key):
+def withdraw(state: states.FlowAgentState, key):
     r"""Remove a claim, or a denial, of a flow that is offered as a new one.
 
     The caller opens it anew: it has to pass admission, and is not taken for a
@@ -92,7 +92,7 @@
         del state.flow_by_key[key]
 
 
-def record_return(state, key, flow):
+def record_return(state: states.FlowAgentState, key, flow: states.Flow):
     r"""Deny a claimed flow from now on whose packet the target returned."""
     if flow.claimed:
         state.counters.claims_returned += 1
@@ -104,7 +104,7 @@
     return state.claims.log_at
 
 
-def tick(state, now):
+def tick(state: states.FlowAgentState, now):
     r"""Log the number of claims, once in each run of the agent."""
     claims = state.claims
     if now < claims.log_at:
--- a/poplarstep/opaque_flows/dead_flows.py
+++ b/poplarstep/opaque_flows/dead_flows.py
@@ -17,10 +17,15 @@
 poplarstep.opaque_flows.surveys : resets flows whose agent has ended, too.
 """
 
+import typing
+
 from poplarstep.core import effect
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import segment as segments
 
+if typing.TYPE_CHECKING:
+    from poplarstep.opaque_flows import agent_state as states
+
 # A target exits right after it has reported so, but waits for the answer for
 # some seconds if that is lost.
 EXIT_TIMEOUT_MS = 5000
@@ -29,7 +34,7 @@
 ENDED_FIELD = 4
 
 
-def reset_all(state, reason):
+def reset_all(state: 'states.FlowAgentState', reason):
     r"""Return the resets of the flows that are open at the ended target."""
     if not state.resets_dead_flows:
         return []
@@ -43,14 +48,14 @@
         ('flows', len(resets)), ('reason', reason)))]
 
 
-def _is_open_here(flow):
+def _is_open_here(flow: 'states.Flow'):
     return (
         flow.answered and flow.ended_at is None
         and flow.acknowledged != segments.NO_SEQUENCE_NUMBER
         and segments.is_in_window(flow.acknowledged, flow.first_sequence))
 
 
-def has_ended(state, now):
+def has_ended(state: 'states.FlowAgentState', now):
     r"""Return whether the known target has certainly exited."""
     return state.departed and (
         state.leaving or now - state.departed_at > EXIT_TIMEOUT_MS)
--- a/poplarstep/opaque_flows/early_openings.py
+++ b/poplarstep/opaque_flows/early_openings.py
@@ -9,6 +9,11 @@
 keeps it and offers the flow as soon as it can.
 """
 
+import typing
+
+if typing.TYPE_CHECKING:
+    from poplarstep.opaque_flows import balancer_state as states
+
 # A caller has retransmitted the packet or given up after as long.
 MAXIMUM_AGE_MS = 1400
 # About 2 MB of memory; the oldest packet makes room for a new one.
@@ -25,7 +30,7 @@
         self.received_at = received_at
 
 
-def add(state, segment, now):
+def add(state: 'states.FlowBalancerState', segment, now):
     r"""Keep an opening packet; a copy replaces an earlier one in its place.
 
     The flow counts as repeated if any copy was.
@@ -40,7 +45,7 @@
     opening_by_flow[segment.flow] = EarlyOpening(segment, now)
 
 
-def take(state, now):
+def take(state: 'states.FlowBalancerState', now):
     r"""Remove all packets; return those whose callers still wait."""
     openings = list(state.early_opening_by_flow.values())
     state.early_opening_by_flow.clear()
--- a/poplarstep/opaque_flows/explanations.py
+++ b/poplarstep/opaque_flows/explanations.py
@@ -60,7 +60,7 @@
 
 
 @balancer.BALANCER.handles(ExplainFlow)
-def explain_flow(state, question, now):
+def explain_flow(state: states.FlowBalancerState, question, now):
     r"""Explain what would happen to a new flow."""
     flow = question.flow
     route = state.catalogue.route_by_address.get(segments.service_of(flow))
@@ -88,18 +88,18 @@
         'candidates': rows, **outcome})]
 
 
-def _service_name(state, number):
+def _service_name(state: states.FlowBalancerState, number):
     service = state.catalogue.service_by_number.get(number)
     return service.name if service is not None else ''
 
 
-def _candidates(state, route, flow):
+def _candidates(state: states.FlowBalancerState, route, flow):
     return [
         target for share in route.shares
         for target in state.candidates.offered(share.service, flow, 0)]
 
 
-def _copy_state(state, route, flow):
+def _copy_state(state: states.FlowBalancerState, route, flow):
     r"""Return a state that can be changed for one flow."""
     scratch = copy.copy(state)
     scratch.random = copy.copy(state.random)
@@ -124,7 +124,7 @@
     return scratch
 
 
-def _candidate_rows(state, route, flow, now):
+def _candidate_rows(state: states.FlowBalancerState, route, flow, now):
     r"""Return what the placement knows of the candidates of each service."""
     rows = []
     for share in route.shares:
@@ -136,7 +136,7 @@
     return rows
 
 
-def _candidate_row(state, target, is_usable, now):
+def _candidate_row(state: states.FlowBalancerState, target, is_usable, now):
     estimate = state.placement.estimate(target.number)
     centre = state.catalogue.data_centre_by_number.get(target.data_centre)
     has_report = estimate.service_us > 0 or estimate.reported_at > 0
@@ -158,13 +158,13 @@
     return 'by the placement'
 
 
-def _backlog(state, target, now):
+def _backlog(state: states.FlowBalancerState, target, now):
     r"""Return the backlog that the placement expects at a target."""
     return state.placement.wait_us(target, now) * target.slots / (
         state.placement.service_us(target)) - 1
 
 
-def _predict(state, flow, now):
+def _predict(state: states.FlowBalancerState, flow, now):
     r"""Return the outcome of a round whose offers agents answer as expected.
 
     ``offers`` names the targets and their answers in order.
@@ -203,7 +203,7 @@
         'reset': refusal.get('reset', False), 'offers': answers}
 
 
-def _target_at(state, offer, flow):
+def _target_at(state: states.FlowBalancerState, offer, flow):
     r"""Return the candidate that gets an offer of the first round."""
     return next(
         target for target in state.candidates.offered(
@@ -211,12 +211,12 @@
         if target.agent == offer.destination)
 
 
-def _backlog_without_offer(state, target, now):
+def _backlog_without_offer(state: states.FlowBalancerState, target, now):
     r"""Return the backlog before the pending offer of this flow."""
     return max(0.0, _backlog(state, target, now) - 1)
 
 
-def _predict_answer(state, offered, target, backlog):
+def _predict_answer(state: states.FlowBalancerState, offered, target, backlog):
     r"""Return the expected reason for a rejection, or '', and the wait in ms.
 
     Parts of a request in the backlog come from the decay of an old report.
--- a/poplarstep/opaque_flows/known_flows.py
+++ b/poplarstep/opaque_flows/known_flows.py
@@ -21,11 +21,15 @@
 
 import collections
 import math
+import typing
 
 from poplarstep.configuration import model
 from poplarstep.core import effect
 from poplarstep.opaque_flows import message
 
+if typing.TYPE_CHECKING:
+    from poplarstep.opaque_flows import balancer_state as states
+
 # Limits the time that a tick takes; ticks come every 20 ms.
 FLOWS_PER_SLICE = 2000
 # A message of 64 flows would have 1,800 bytes and be fragmented; one of 39 has
@@ -122,7 +126,7 @@
     return KnownFlowsState(enabled)
 
 
-def catalogue_changed(state):
+def catalogue_changed(state: 'states.FlowBalancerState'):
     r"""Record which agents have restarted since the last change."""
     known = state.known_flows
     if not known.enabled:
@@ -138,7 +142,7 @@
     _prune(state)
 
 
-def _changed_targets(state):
+def _changed_targets(state: 'states.FlowBalancerState'):
     r"""Return the targets in the changes since the last call, or all."""
     changes = state.catalogue.changes_since(state.known_flows.version)
     if changes is None:
@@ -148,7 +152,7 @@
         if type(change.body) is model.Target]
 
 
-def _prune(state):
+def _prune(state: 'states.FlowBalancerState'):
     incarnations = state.known_flows.incarnation_by_name
     present = state.catalogue.target_by_name
     if len(incarnations) > len(present) + MAXIMUM_REMOVED_TARGETS:
@@ -165,7 +169,7 @@
     return known.repeats[0].repeat_at if known.repeats else math.inf
 
 
-def tick(state, now):
+def tick(state: 'states.FlowBalancerState', now):
     r"""Look through a slice of the flow table, and send a message."""
     if not state.known_flows.enabled:
         return []
@@ -173,7 +177,7 @@
     return _send_next(state, now)
 
 
-def _scan(state, now):
+def _scan(state: 'states.FlowBalancerState', now):
     known = state.known_flows
     if known.restarted and not known.notice_by_agent:
         _start_scan(state)
@@ -196,7 +200,7 @@
         known.scanned_flows = []
 
 
-def _start_scan(state):
+def _start_scan(state: 'states.FlowBalancerState'):
     r"""Start a pass for the agents that have restarted meanwhile.
 
     Their earlier notices are dropped: the new ones have the same flows. The
@@ -216,13 +220,13 @@
     known.scan_position = 0
 
 
-def _idle_limit_ms(state):
+def _idle_limit_ms(state: 'states.FlowBalancerState'):
     r"""Return the idle timeout; no flow is sent without a configuration."""
     policy = state.catalogue.policy
     return policy.flow_idle_ms if policy else 0
 
 
-def _send_next(state, now):
+def _send_next(state: 'states.FlowBalancerState', now):
     r"""Return the next message, and the log line of a completed notice."""
     known = state.known_flows
     notices = known.notices
@@ -248,7 +252,7 @@
     return effects
 
 
-def _next_message(state, notice, now):
+def _next_message(state: 'states.FlowBalancerState', notice, now):
     r"""Return the message about the next flows that are still to be sent."""
     end = notice.position + FLOWS_PER_MESSAGE
     items = []
--- a/poplarstep/opaque_flows/load_reports.py
+++ b/poplarstep/opaque_flows/load_reports.py
@@ -16,13 +16,13 @@
 CAUSES = frozenset((message.Offer, message.FlowPacket, message.FlowLookup))
 
 
-def observe(state, now):
+def observe(state: states.FlowAgentState, now):
     r"""Account for the requests that ran since the last event of an agent."""
     state.demand.advance(
         min(states.slots(state), state.occupancy.running()), now)
 
 
-def after_message(state, event, now):
+def after_message(state: states.FlowAgentState, event, now):
     r"""Return the report that a balancer is due after a message of it.
 
     The answer to an offer carries the load, so it counts as a report.
--- a/poplarstep/opaque_flows/locality.py
+++ b/poplarstep/opaque_flows/locality.py
@@ -24,6 +24,8 @@
 poplarstep.opaque_flows.load_groups : utilisation of a data centre's targets.
 """
 
+import typing
+
 from poplarstep.core import effect
 from poplarstep.core import registry
 from poplarstep.opaque_flows import candidates
@@ -31,6 +33,9 @@
 from poplarstep.opaque_flows import local_candidates
 from poplarstep.opaque_flows import local_capacity
 
+if typing.TYPE_CHECKING:
+    from poplarstep.opaque_flows import balancer_state as states
+
 DEFAULT_LOCALITY = 'none'
 LOCALITIES = registry.Registry('locality')
 
@@ -71,11 +76,13 @@
         """
         return 0
 
-    def preferred(self, state, tracked, offered, now):
+    def preferred(
+            self, state: 'states.FlowBalancerState',
+            tracked: 'states.TrackedFlow', offered, now):
         r"""Return those of the candidates to which a flow may go now."""
         return offered
 
-    def check_spill(self, state, service, now):
+    def check_spill(self, state: 'states.FlowBalancerState', service, now):
         r"""Return a log entry if a service starts or stops spilling."""
         return []
 
@@ -120,7 +127,9 @@
         r"""Return one offer more, for another data centre."""
         return 1
 
-    def preferred(self, state, tracked, offered, now):
+    def preferred(
+            self, state: 'states.FlowBalancerState',
+            tracked: 'states.TrackedFlow', offered, now):
         r"""Return those of the candidates to which a flow may go now.
 
         All candidates while the service spills. Otherwise the local ones
@@ -140,7 +149,7 @@
             return others
         return offered
 
-    def check_spill(self, state, service, now):
+    def check_spill(self, state: 'states.FlowBalancerState', service, now):
         r"""Return a log entry if a service starts or stops spilling.
 
         Without recent reports of local targets nothing is known of their
@@ -212,7 +221,7 @@
             return offered
         return super().preferred(state, tracked, offered, now)
 
-    def check_spill(self, state, service, now):
+    def check_spill(self, state: 'states.FlowBalancerState', service, now):
         r"""Return log entries for changes of the preference and of a spill.
 
         A service that loses the preference also stops to spill.
@@ -243,12 +252,13 @@
         self.preferring = set(self.preferring)
 
 
-def _name(state, service):
+def _name(state: 'states.FlowBalancerState', service):
     known = state.catalogue.service_by_number.get(service)
     return service if known is None else known.name
 
 
-def _are_some_answering(state, targets, tried, now):
+def _are_some_answering(
+        state: 'states.FlowBalancerState', targets, tried, now):
     r"""Return whether an untried target is not avoided as unanswering."""
     return any(
         item.number not in tried
@@ -256,7 +266,9 @@
         for item in targets)
 
 
-def choose(state, tracked, offered, now):
+def choose(
+        state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow',
+        offered, now):
     r"""Return the target for the next offer of a flow, or None."""
     return state.placement.choose(
         state.locality.preferred(state, tracked, offered, now),
--- a/poplarstep/opaque_flows/lookups.py
+++ b/poplarstep/opaque_flows/lookups.py
@@ -22,6 +22,8 @@
 only chooses the candidates.
 """
 
+import typing
+
 from poplarstep.configuration import model
 from poplarstep.opaque_flows import candidates
 from poplarstep.opaque_flows import message
@@ -30,6 +32,9 @@
 from poplarstep.opaque_flows import surveys
 from poplarstep.opaque_flows import uncertain_agents
 
+if typing.TYPE_CHECKING:
+    from poplarstep.opaque_flows import balancer_state as states
+
 # A flow that no agent holds after as many lookups has ended. Its later packets
 # are dropped, and the caller times out.
 MAXIMUM_LOOKUPS = 12
@@ -47,7 +52,9 @@
 MAXIMUM_WIDE_MESSAGES = 400
 
 
-def look_up(state, tracked, packet, now):
+def look_up(
+        state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow',
+        packet, now):
     r"""Return the effects that look for the agent of a packet's flow."""
     if state.surveys.enabled:
         return _search(state, tracked, packet, now)
@@ -71,7 +78,9 @@
     return [message.ToNode(agent, question) for agent in agents]
 
 
-def _search(state, tracked, packet, now):
+def _search(
+        state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow',
+        packet, now):
     r"""Keep a packet; if its flow is not looked for yet, start to do so."""
     flow = packet.flow
     route = state.catalogue.route_by_address.get(segments.service_of(flow))
@@ -88,7 +97,9 @@
         state, services, flow, _lookup_candidates(services)), now)
 
 
-def _agents_to_ask(state, tracked, flow, now):
+def _agents_to_ask(
+        state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow', flow,
+        now):
     r"""Return the agents of a lookup: those of the candidates, or more."""
     route = state.catalogue.route_by_address.get(segments.service_of(flow))
     if route is None:
@@ -116,7 +127,7 @@
     return candidates.LOOKUP_CANDIDATES * min(2, len(services))
 
 
-def _agents(state, services, flow, wanted):
+def _agents(state: 'states.FlowBalancerState', services, flow, wanted):
     r"""Return ``wanted`` agents, evenly over the services.
 
     Of a service with no more targets than ``candidates.LOOKUP_CANDIDATES``
@@ -128,7 +139,9 @@
         for target in state.candidates.lookup(service, flow, each)]
 
 
-def uncertain(state, tracked, event, now):
+def uncertain(
+        state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow',
+        event, now):
     r"""Return the waiting packets for an agent that may hold their flow.
 
     They go on waiting: another agent may hold the flow. With surveys they
@@ -144,7 +157,9 @@
         for packet in tracked.waiting_packets]
 
 
-def drop_outdated(state, flow, tracked, now):
+def drop_outdated(
+        state: 'states.FlowBalancerState', flow, tracked: 'states.TrackedFlow',
+        now):
     r"""Drop the packets of a lookup that no agent has answered in time."""
     if flow in state.surveys.pending_by_flow:
         return
--- a/poplarstep/opaque_flows/offers.py
+++ b/poplarstep/opaque_flows/offers.py
@@ -45,7 +45,7 @@
 MAXIMUM_TRACKED_FLOWS = 200_000
 
 
-def add_flow(state, flow, now):
+def add_flow(state: states.FlowBalancerState, flow, now):
     r"""Add a flow to the flow table and return its entry.
 
     The oldest entry is removed from a full table.
@@ -62,7 +62,9 @@
     return tracked
 
 
-def handle_opening(state, segment, tracked, now, received_at=None):
+def handle_opening(
+        state: states.FlowBalancerState, segment, tracked: states.TrackedFlow,
+        now, received_at=None):
     r"""Offer a new flow, or send a copy to the agent that accepted it.
 
     Copies of an opening packet are dropped while the flow is being offered.
@@ -110,7 +112,7 @@
     return next_offer(state, segment.flow, tracked, now)
 
 
-def _choose_service(state, route):
+def _choose_service(state: states.FlowBalancerState, route):
     r"""Return the number of the service for a new flow, chosen by weight."""
     if len(route.shares) == 1:
         return route.shares[0].service
@@ -119,21 +121,25 @@
         [share.weight for share in route.shares])[0]
 
 
-def _offer(tracked, flow, datagram, now, tied_agent=None):
+def _offer(tracked: states.TrackedFlow, flow, datagram, now, tied_agent=None):
     return message.Offer(
         flow, tracked.service, tracked.priority,
         max(0, tracked.queue_deadline - now), tracked.may_queue, datagram,
         tied_agent)
 
 
-def next_offer(state, flow, tracked, now):
+def next_offer(
+        state: states.FlowBalancerState, flow, tracked: states.TrackedFlow,
+        now):
     r"""Offer a flow to the next target, wait for a new round, or refuse it."""
     return state.locality.check_spill(
         state, tracked.service, now) + _offer_to_next(
             state, flow, tracked, now)
 
 
-def _offer_to_next(state, flow, tracked, now):
+def _offer_to_next(
+        state: states.FlowBalancerState, flow, tracked: states.TrackedFlow,
+        now):
     candidates = state.candidates.offered(
         tracked.service, flow, tracked.round_count)
     if now >= tracked.queue_deadline:
@@ -161,7 +167,9 @@
         tracked, flow, tracked.opening_datagram, now))]
 
 
-def _second_target(state, flow, tracked, candidates, first, now):
+def _second_target(
+        state: states.FlowBalancerState, flow, tracked: states.TrackedFlow,
+        candidates, first, now):
     r"""Return the other target of a flow that is tied, or None."""
     if not tied_offers.is_eligible(state, flow, tracked):
         return None
@@ -175,7 +183,9 @@
     return target
 
 
-def _tied_offers(state, flow, tracked, first, second, now):
+def _tied_offers(
+        state: states.FlowBalancerState, flow, tracked: states.TrackedFlow,
+        first, second, now):
     r"""Offer a flow to two agents, each of which may queue it."""
     tracked.offer_count += 1
     state.placement.offered(second.number, now)
@@ -186,7 +196,9 @@
     ] + [tied_offers.tie(state, flow, tracked, first, second)]
 
 
-def _target_in_time(state, tracked, candidates, now):
+def _target_in_time(
+        state: states.FlowBalancerState, tracked: states.TrackedFlow,
+        candidates, now):
     r"""Return the next target of a round, at last one that may queue."""
     if tracked.offer_count < _offers_without_queue(state, tracked):
         target = locality.choose(state, tracked, candidates, now)
@@ -199,11 +211,14 @@
     return _shortest_queue(state, tracked, candidates, now)
 
 
-def _offers_without_queue(state, tracked):
+def _offers_without_queue(
+        state: states.FlowBalancerState, tracked: states.TrackedFlow):
     return OFFERS_WITHOUT_QUEUE + state.locality.extra_offers(tracked.service)
 
 
-def _target_of_late_flow(state, tracked, candidates, now):
+def _target_of_late_flow(
+        state: states.FlowBalancerState, tracked: states.TrackedFlow,
+        candidates, now):
     r"""Return the target that may take a late flow if it has a free slot."""
     tracked.is_late = True
     tracked.may_queue = False
@@ -213,7 +228,8 @@
     return locality.choose(state, tracked, candidates, now)
 
 
-def record_overload(state, tracked, now):
+def record_overload(
+        state: states.FlowBalancerState, tracked: states.TrackedFlow, now):
     r"""Keep late flows from delaying others, one of which is refused."""
     tied_offers.record_outcome(
         state.tie_limits, tracked.service, True, now)
@@ -221,7 +237,7 @@
         state.late_blocked_until = now + LATE_BLOCKED_MS
 
 
-def _may_succeed_later(tracked, candidates, now):
+def _may_succeed_later(tracked: states.TrackedFlow, candidates, now):
     r"""Return whether another round of offers may succeed in time."""
     if tracked.is_late:
         return now + ROUND_INTERVAL_MS < tracked.late_deadline
@@ -230,7 +246,7 @@
     return transient and now + ROUND_INTERVAL_MS < tracked.opening_deadline
 
 
-def start_round(state, flow, now):
+def start_round(state: states.FlowBalancerState, flow, now):
     r"""Start a new round of offers of a flow."""
     del state.retry_at_by_flow[flow]
     tracked = state.tracked_by_flow[flow]
@@ -241,7 +257,9 @@
     return next_offer(state, flow, tracked, now)
 
 
-def _shortest_queue(state, tracked, candidates, now):
+def _shortest_queue(
+        state: states.FlowBalancerState, tracked: states.TrackedFlow,
+        candidates, now):
     r"""Return the busy target with the shortest wait, or an untried one."""
     busy = [
         item for item in candidates
@@ -254,7 +272,8 @@
     return locality.choose(state, tracked, candidates, now)
 
 
-def clear_offer(state, flow, tracked):
+def clear_offer(
+        state: states.FlowBalancerState, flow, tracked: states.TrackedFlow):
     r"""Record that no answer to the current offer is expected any more."""
     state.offered_by_flow.pop(flow, None)
     tracked.offered_to = None
--- a/poplarstep/opaque_flows/pending_flows.py
+++ b/poplarstep/opaque_flows/pending_flows.py
@@ -7,12 +7,16 @@
 """
 
 import math
+import typing
 
 from poplarstep.configuration import model
 from poplarstep.opaque_flows import lookup_budget
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import segment as segments
 
+if typing.TYPE_CHECKING:
+    from poplarstep.opaque_flows import balancer_state as states
+
 # The time in which the candidates answer: a round trip between data centres
 # and a busy host.
 CANDIDATES_ANSWER_MS = 40
@@ -53,7 +57,7 @@
         'tracked', 'arrived_at', 'packet_at', 'asked_at', 'uncertain_at',
         'denied_by', 'rounds', 'next_at', 'check_at')
 
-    def __init__(self, tracked, now):
+    def __init__(self, tracked: 'states.TrackedFlow', now):
         self.tracked = tracked
         self.arrived_at = now
         self.packet_at = now
@@ -121,7 +125,9 @@
     return SurveyState(enabled, confirmed_since, lookup_rate)
 
 
-def add_packet(state, tracked, packet, now):
+def add_packet(
+        state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow',
+        packet, now):
     r"""Keep a packet of an unknown flow; return whether a search starts."""
     surveys = state.surveys
     pending = surveys.pending_by_flow.get(packet.flow)
@@ -169,7 +175,7 @@
         == (packet.sequence, packet.has_data, packet.ending))
 
 
-def forget(state, flow):
+def forget(state: 'states.FlowBalancerState', flow):
     r"""Stop looking for a flow; return its ``PendingFlow`` or None."""
     surveys = state.surveys
     surveys.query_queue.pop(flow, None)
@@ -177,7 +183,7 @@
     return surveys.pending_by_flow.pop(flow, None)
 
 
-def found(state, tracked):
+def found(state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow'):
     r"""Return the waiting packets of a flow for its agent, if it is known."""
     waiting, tracked.waiting_packets = tracked.waiting_packets, ()
     if tracked.agent is None:
@@ -186,14 +192,14 @@
     return [message.ToNode(tracked.agent, packet) for packet in waiting]
 
 
-def drop(state, flow):
+def drop(state: 'states.FlowBalancerState', flow):
     r"""Stop looking for a flow, and drop its packets."""
     pending = forget(state, flow)
     if pending is not None:
         pending.tracked.waiting_packets = ()
 
 
-def record_denial(state, flow, source):
+def record_denial(state: 'states.FlowBalancerState', flow, source):
     r"""Record that the target of an agent does not hold a flow."""
     pending = state.surveys.pending_by_flow.get(flow)
     if pending is not None:
@@ -201,7 +207,7 @@
         pending.check_at = 0
 
 
-def record_uncertain(state, flow, source, now):
+def record_uncertain(state: 'states.FlowBalancerState', flow, source, now):
     r"""Record that the target of an agent may hold a flow."""
     pending = state.surveys.pending_by_flow.get(flow)
     if pending is not None:
@@ -209,7 +215,8 @@
         pending.check_at = 0
 
 
-def undecided_agents(state, flow, pending):
+def undecided_agents(
+        state: 'states.FlowBalancerState', flow, pending: 'PendingFlow'):
     r"""Return the agents that have not denied a flow.
 
     They are those of all targets of the present and former services of its
--- a/poplarstep/opaque_flows/refusals.py
+++ b/poplarstep/opaque_flows/refusals.py
@@ -15,11 +15,15 @@
 """
 
 import math
+import typing
 
 from poplarstep.core import effect
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import segment as segments
 
+if typing.TYPE_CHECKING:
+    from poplarstep.opaque_flows import balancer_state as states
+
 # When callers send the copies of an opening packet.
 FIRST_COPY_MS = 200
 SECOND_COPY_MS = 600
@@ -30,7 +34,7 @@
 COPY_MARGIN_MS = 50
 
 
-def start(tracked, received_at, may_be_open):
+def start(tracked: 'states.TrackedFlow', received_at, may_be_open):
     r"""Record that the first opening packet of a flow has come."""
     tracked.first_opening_at = received_at
     tracked.may_be_open = may_be_open
@@ -38,7 +42,7 @@
     tracked.refusal = ''
 
 
-def record_copy(tracked, now):
+def record_copy(tracked: 'states.TrackedFlow', now):
     r"""Record that a copy of the opening packet has come to this balancer."""
     elapsed = now - tracked.first_opening_at
     first_copy_due = tracked.first_opening_at + FIRST_COPY_MS - COPY_MARGIN_MS
@@ -52,12 +56,14 @@
     tracked.copy_due_at = math.inf
 
 
-def may_be_open(tracked, now):
+def may_be_open(tracked: 'states.TrackedFlow', now):
     r"""Return whether the flow may be open, here or at another balancer."""
     return tracked.may_be_open or now >= tracked.copy_due_at
 
 
-def give_up(state, flow, tracked, reason, now):
+def give_up(
+        state: 'states.FlowBalancerState', flow, tracked: 'states.TrackedFlow',
+        reason, now):
     r"""Refuse a flow that no target takes; reset it if it can't be open.
 
     A flow that may be open only because of a copy that is due stays in the
@@ -73,7 +79,9 @@
     return refuse(state, flow, tracked, reason, not is_open_nowhere)
 
 
-def answer_copy(state, flow, tracked, now):
+def answer_copy(
+        state: 'states.FlowBalancerState', flow, tracked: 'states.TrackedFlow',
+        now):
     r"""Reset a refused flow whose copy shows that it is open nowhere."""
     if may_be_open(tracked, now):
         return []
@@ -81,7 +89,9 @@
     return refuse(state, flow, tracked, tracked.refusal, False)
 
 
-def refuse(state, flow, tracked, reason, keep_open):
+def refuse(
+        state: 'states.FlowBalancerState', flow, tracked: 'states.TrackedFlow',
+        reason, keep_open):
     r"""Log the refusal of a flow, and reset the flow if it can't be open.
 
     Without a reset, the caller of a flow that is not open times out.
--- a/poplarstep/opaque_flows/surveys.py
+++ b/poplarstep/opaque_flows/surveys.py
@@ -27,6 +27,7 @@
 import collections
 import itertools
 import math
+import typing
 
 from poplarstep.core import effect
 from poplarstep.opaque_flows import lookup_budget
@@ -35,6 +36,9 @@
 from poplarstep.opaque_flows import segment as segments
 from poplarstep.opaque_flows import uncertain_agents
 
+if typing.TYPE_CHECKING:
+    from poplarstep.opaque_flows import balancer_state as states
+
 # Flows in one message, which then has 1,341 bytes and fits a packet of 1,500.
 FLOWS_PER_SURVEY = 40
 # Surveys that contain a flow. Agents that have not answered are asked again,
@@ -57,7 +61,7 @@
 MAXIMUM_MESSAGES = 400
 
 
-def ask_candidates(state, packet, agents, now):
+def ask_candidates(state: 'states.FlowBalancerState', packet, agents, now):
     r"""Return the questions to the agents of a new flow's candidates.
 
     While other flows wait for the budget, or less than half of it is left,
@@ -82,7 +86,7 @@
     return surveys.evaluate_at if surveys.pending_by_flow else math.inf
 
 
-def tick(state, now):
+def tick(state: 'states.FlowBalancerState', now):
     r"""Evaluate the pending flows; return messages and resets."""
     surveys = state.surveys
     if not surveys.pending_by_flow or now < surveys.evaluate_at:
@@ -101,7 +105,9 @@
     return effects + uncertain_agents.send(state, now)
 
 
-def _check(state, flow, pending, now):
+def _check(
+        state: 'states.FlowBalancerState', flow,
+        pending: pending_flows.PendingFlow, now):
     r"""Give up, reset or go on looking for a flow; return the effects."""
     undecided = pending_flows.undecided_agents(state, flow, pending)
     if undecided is None or _has_expired(pending, undecided, now):
@@ -114,14 +120,16 @@
     return []
 
 
-def _has_expired(pending, undecided, now):
+def _has_expired(pending: pending_flows.PendingFlow, undecided, now):
     if now - pending.packet_at > MAXIMUM_PACKET_AGE_MS:
         return True
     return bool(undecided) and (
         pending.rounds >= MAXIMUM_ROUNDS and now >= pending.next_at)
 
 
-def _queue(state, flow, pending, undecided, now):
+def _queue(
+        state: 'states.FlowBalancerState', flow,
+        pending: pending_flows.PendingFlow, undecided, now):
     r"""Add a flow to the queues of questions and of packets if it is due.
 
     It is checked again when an answer or a packet comes, or something else
@@ -142,13 +150,15 @@
     pending.check_at = min(times)
 
 
-def _unanswered(pending, undecided):
+def _unanswered(pending: pending_flows.PendingFlow, undecided):
     r"""Return the agents that must be asked."""
     return uncertain_agents.silent(pending, undecided) + (
         uncertain_agents.unasked(pending, undecided))
 
 
-def _end(state, flow, pending, now):
+def _end(
+        state: 'states.FlowBalancerState', flow,
+        pending: pending_flows.PendingFlow, now):
     r"""Reset a flow that all agents deny, once the configuration is confirmed.
 
     A flow without data is not reset: its packet may be the last one of a
@@ -175,7 +185,7 @@
             ('version', state.catalogue.version)))]
 
 
-def _ask(state, now):
+def _ask(state: 'states.FlowBalancerState', now):
     r"""Send one message about several flows to each agent."""
     surveys = state.surveys
     batch, size = _choose_batch(state, now)
@@ -202,7 +212,7 @@
         for agent, flows in flows_by_agent.items()]
 
 
-def _choose_batch(state, now):
+def _choose_batch(state: 'states.FlowBalancerState', now):
     r"""Take the flows of the next survey from their queue.
 
     Returns them with the bytes of the messages. They are the first ones for
@@ -234,7 +244,7 @@
     return [item for item in batch if item[2]], size
 
 
-def process_reply(state, source, reply, now):
+def process_reply(state: 'states.FlowBalancerState', source, reply, now):
     r"""Record an agent's answer; return the pending flows that it holds."""
     for flow in reply.denied:
         pending_flows.record_denial(state, flow, source)
--- a/poplarstep/opaque_flows/target_probe.py
+++ b/poplarstep/opaque_flows/target_probe.py
@@ -13,9 +13,13 @@
 """
 
 import math
+import typing
 
 from poplarstep.opaque_flows import dead_flows
 
+if typing.TYPE_CHECKING:
+    from poplarstep.opaque_flows import agent_state as states
+
 # A new agent connects when no heartbeat has come for this part of the time
 # after which a known target counts as silent.
 START_PART = 0.5
@@ -71,12 +75,12 @@
     return ProbeState(now + int(START_PART * heartbeat_timeout_ms))
 
 
-def heard(state, now):
+def heard(state: 'states.FlowAgentState', now):
     r"""Record a heartbeat; the next probe is due when the target is silent."""
     state.probe = ProbeState(now + state.heartbeat_timeout_ms)
 
 
-def due_at(state):
+def due_at(state: 'states.FlowAgentState'):
     r"""Return when the next probe or announcement is due, in ms."""
     probe = state.probe
     if not state.resets_dead_flows or probe.outstanding:
@@ -87,14 +91,14 @@
     return math.inf if is_announced(state) else announced_at
 
 
-def is_announced(state):
+def is_announced(state: 'states.FlowAgentState'):
     r"""Return whether the end of the target has been announced."""
     return bool(
         state.last_announcement
         and state.last_announcement[dead_flows.ENDED_FIELD])
 
 
-def tick(state, now):
+def tick(state: 'states.FlowAgentState', now):
     r"""Return the probe that is due, if any."""
     probe = state.probe
     if not state.resets_dead_flows or probe.outstanding or (
@@ -103,14 +107,14 @@
     return start(state)
 
 
-def start(state):
+def start(state: 'states.FlowAgentState'):
     r"""Return a probe of the target."""
     state.probe.outstanding = True
     state.counters.probes += 1
     return [ProbeTarget()]
 
 
-def record(state, event, now):
+def record(state: 'states.FlowAgentState', event, now):
     r"""Record the outcome of a probe; return whether the target has ended."""
     probe = state.probe
     if not probe.outstanding:
@@ -126,12 +130,12 @@
     return True
 
 
-def has_ended(state):
+def has_ended(state: 'states.FlowAgentState'):
     r"""Return whether the target was found to have ended."""
     return state.probe.ended_at is not None
 
 
-def is_end_due(state, now):
+def is_end_due(state: 'states.FlowAgentState', now):
     r"""Return whether the end of the target may be announced."""
     ended_at = state.probe.ended_at
     return ended_at is not None and (
--- a/poplarstep/opaque_flows/tied_offers.py
+++ b/poplarstep/opaque_flows/tied_offers.py
@@ -27,11 +27,15 @@
 """
 
 import collections
+import typing
 
 from poplarstep.core import effect
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import segment as segments
 
+if typing.TYPE_CHECKING:
+    from poplarstep.opaque_flows import balancer_state as states
+
 # Tied offers that may follow each other at once. It covers a burst in which
 # as many flows meet busy targets within some 10 ms.
 BUDGET_BURST = 20
@@ -168,7 +172,9 @@
     window.record(is_overload, now)
 
 
-def is_eligible(state, flow, tracked):
+def is_eligible(
+        state: 'states.FlowBalancerState', flow,
+        tracked: 'states.TrackedFlow'):
     r"""Return whether two agents may queue a flow that is being offered.
 
     All targets that were offered the flow in this round were busy, the next
@@ -197,7 +203,7 @@
     return slower_us <= EXPECTED_GAIN * placement.wait_us(first, now)
 
 
-def try_take(state, service, now):
+def try_take(state: 'states.FlowBalancerState', service, now):
     r"""Return whether the limits allow a tied offer, and charge it."""
     limits = state.tie_limits
     window = limits.window_by_service.get(service)
@@ -212,7 +218,9 @@
     return True
 
 
-def tie(state, flow, tracked, first, second):
+def tie(
+        state: 'states.FlowBalancerState', flow, tracked: 'states.TrackedFlow',
+        first, second):
     r"""Record that a flow is offered to two targets; return the log line."""
     tracked.tie = Tie(first, second)
     return effect.LogEvent('flow-tied', (
@@ -222,7 +230,9 @@
         ('version', state.catalogue.version)))
 
 
-def record_acceptance(state, tracked, event, now):
+def record_acceptance(
+        state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow',
+        event, now):
     r"""Record that an agent holds a tied flow, or has queued it.
 
     Returns False if the flow is not tied. An agent outside of the tie that
@@ -252,7 +262,9 @@
     return offer.target if offer.phase == UNANSWERED else None
 
 
-def record_start(state, tracked, event):
+def record_start(
+        state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow',
+        event):
     r"""Record that an agent has started a tied flow.
 
     The first agent that starts the flow holds it. If both start it, the
@@ -271,7 +283,9 @@
     return [_settled(state, event.message.flow, other, offer, 'too-late')]
 
 
-def record_rejection(state, tracked, event, now):
+def record_rejection(
+        state: 'states.FlowBalancerState', tracked: 'states.TrackedFlow',
+        event, now):
     r"""Record that an agent rejected or withdrew a tied flow.
 
     Returns the effects and whether the other offer may still open the flow.
@@ -308,7 +322,8 @@
     return effects, goes_on
 
 
-def _settled(state, flow, started, withdrawn, outcome):
+def _settled(
+        state: 'states.FlowBalancerState', flow, started, withdrawn, outcome):
     return effect.LogEvent('tied-flow-settled', (
         ('flow', segments.describe(flow)),
         ('started', started.target.number),
@@ -316,7 +331,7 @@
         ('version', state.catalogue.version)))
 
 
-def take_unanswered(tracked):
+def take_unanswered(tracked: 'states.TrackedFlow'):
     r"""Return the targets that did not answer an offer in time."""
     if tracked.tie is None:
         return (tracked.offered_to,)
@@ -327,7 +342,7 @@
     return tuple(item.target for item in unanswered)
 
 
-def tied_agent(tracked):
+def tied_agent(tracked: 'states.TrackedFlow'):
     r"""Return the agent to name in a copy of the offer, or None."""
     if tracked.tie is None:
         return None
@@ -337,7 +352,7 @@
     return other.target.agent
 
 
-def agent_after_return(tracked, agent):
+def agent_after_return(tracked: 'states.TrackedFlow', agent):
     r"""Return the agent that holds a flow if another one returned a packet.
 
     None if the flow is not tied or the other offer has ended.
--- a/poplarstep/opaque_flows/uncertain_agents.py
+++ b/poplarstep/opaque_flows/uncertain_agents.py
@@ -12,11 +12,15 @@
 """
 
 import math
+import typing
 
 from poplarstep.opaque_flows import lookup_budget
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import pending_flows
 
+if typing.TYPE_CHECKING:
+    from poplarstep.opaque_flows import balancer_state as states
+
 # Time between two packets of a flow to the same uncertain agent. An open flow
 # is broken when three packets within 2 s reach wrong targets only.
 PACKET_INTERVAL_MS = 1000
@@ -29,19 +33,19 @@
 RESULT_MS = 150
 
 
-def silent(pending, agents):
+def silent(pending: pending_flows.PendingFlow, agents):
     r"""Return the agents among ``agents`` that have not answered."""
     return [agent for agent in agents if agent not in pending.uncertain_at]
 
 
-def unblocked_at(pending, agents):
+def unblocked_at(pending: pending_flows.PendingFlow, agents):
     r"""Return from when on silent agents no longer hold back the packet."""
     return max((
         pending.asked_at.get(agent, math.inf) + SILENCE_LIMIT_MS
         for agent in silent(pending, agents)), default=-math.inf)
 
 
-def recipients(pending, agents, now):
+def recipients(pending: pending_flows.PendingFlow, agents, now):
     r"""Return the uncertain agents among ``agents`` that get the packet now.
 
     An agent that got an earlier packet gets another one only if the caller
@@ -58,7 +62,7 @@
                 pending.uncertain_at[agent], pending.packet_at))]
 
 
-def unasked(pending, agents):
+def unasked(pending: pending_flows.PendingFlow, agents):
     r"""Return the agents that got a packet after their latest answer."""
     passed_at = pending.tracked.passed_at_by_agent
     return [
@@ -67,7 +71,7 @@
         and passed_at[agent] >= pending.uncertain_at[agent]]
 
 
-def send(state, now):
+def send(state: 'states.FlowBalancerState', now):
     r"""Send packets to uncertain agents, in order, while budget is left."""
     surveys = state.surveys
     effects = []
@@ -85,7 +89,9 @@
     return effects
 
 
-def _send_packet(state, pending, agents, now):
+def _send_packet(
+        state: 'states.FlowBalancerState', pending: pending_flows.PendingFlow,
+        agents, now):
     state.counters.uncertain_packets += len(agents)
     pending.next_at = now + RESULT_MS
     pending.check_at = min(pending.check_at, pending.next_at)
@@ -95,7 +101,7 @@
     return [message.ToNode(agent, lookup) for agent in agents]
 
 
-def forget_old(tracked, now):
+def forget_old(tracked: 'states.TrackedFlow', now):
     r"""Remove the records of packets that no longer hold back others."""
     passed_at = tracked.passed_at_by_agent
     if passed_at and now - max(passed_at.values()) >= PACKET_INTERVAL_MS:
