Run mypy as a process in the test of the static check

Cause: in one test run with platform/tests, mypy imported as a module got the folder platform instead of the standard library's module, and all 11 cases of test_static_check.py failed with an AttributeError in mypy/main.py.

The test starts mypy as scripts/lint does, in a process of its own, with the same cases and as strict assertions. Ruled out: leaving platform/tests out of a run, which the whole suite does not do.

Together with platform/tests/test_launch.py the test failed before the change and passes with it.

--- a/poplarstep/core/tests/test_static_check.py
+++ b/poplarstep/core/tests/test_static_check.py
@@ -4,8 +4,9 @@
 """
 
 import pathlib
+import subprocess
+import sys
 
-from mypy import api
 import pytest
 
 CONFIGURATION = pathlib.Path(__file__).parents[3] / 'pyproject.toml'
@@ -62,10 +63,11 @@
 def test_line_is_reported(tmp_path, line, reported):
     path = tmp_path / 'sample.py'
     path.write_text(SOURCE % line)
-    output, errors, status = api.run(
-        ['--config-file', str(CONFIGURATION), str(path)])
-    assert not errors
+    run = subprocess.run(
+        [sys.executable, '-m', 'mypy', '--config-file', str(CONFIGURATION),
+         str(path)], cwd=tmp_path, capture_output=True, text=True)
+    assert not run.stderr
     if reported is None:
-        assert status == 0, output
+        assert run.returncode == 0, run.stdout
     else:
-        assert status == 1 and reported in output, output
+        assert run.returncode == 1 and reported in run.stdout, run.stdout
