--- a/poplarstep/opaque_flows/lookups.py
+++ b/poplarstep/opaque_flows/lookups.py
@@ -85,14 +85,19 @@
     flow = packet.flow
     route = state.catalogue.route_by_address.get(segments.service_of(flow))
     is_new = flow not in state.surveys.pending_by_flow
-    if route is None or (
-            is_new and tracked.lookup_count >= MAXIMUM_LOOKUPS) or (
+    # Searches for packets without data may end at once. They leave as many for
+    # the data, without which no dead flow is reset.
+    limit = MAXIMUM_LOOKUPS * (2 if packet.has_data else 1)
+    if route is None or (is_new and tracked.lookup_count >= limit) or (
             not pending_flows.add_packet(state, tracked, packet, now)):
         return []
     tracked.lookup_count += is_new
     tracked.looked_up_at = now
     state.counters.finds += 1
     services = model.services_of_flows(route)
+    state.surveys.pending_by_flow[flow].likely = frozenset(_agents(
+        state, services, flow,
+        candidates.OFFERED_CANDIDATES * len(services)))
     return surveys.ask_candidates(state, packet, _agents(
         state, services, flow, _lookup_candidates(services)), now)
 
