--- a/poplarstep/consensus/commit_pause.py
+++ b/poplarstep/consensus/commit_pause.py
@@ -13,9 +13,15 @@
 that was not promoted in time waits longer after each pause.
 """
 
+import typing
+
 from poplarstep.consensus import log
 from poplarstep.core import effect
 
+if typing.TYPE_CHECKING:
+    from poplarstep.consensus import progress as progresses
+    from poplarstep.consensus import state as states
+
 # A data centre that is taken out gets no more packets after 3 s: 2.5 s until
 # the last lease ends, this pause, one tick and the commit itself.
 MAXIMUM_PAUSE_MS = 300
@@ -62,7 +68,8 @@
         return self.identity is not None and now < self.deadline
 
 
-def is_nearly_complete(state, progress):
+def is_nearly_complete(
+        state: 'states.ReplicaState', progress: 'progresses.Progress'):
     r"""Return whether a message in flight has all that a member lacks."""
     missing = state.log.last_index - progress.next_index + 1
     return (
@@ -73,7 +80,7 @@
         <= MAXIMUM_MISSING_BYTES)
 
 
-def begin(state, identity, round_trip_ms, now):
+def begin(state: 'states.ReplicaState', identity, round_trip_ms, now):
     r"""Pause commits for a learner whose next reply may complete it.
 
     ``round_trip_ms`` is the time that its last reply took. The entries that
@@ -94,7 +101,7 @@
     state.counters.commit_pauses += 1
 
 
-def end(state, reason, now):
+def end(state: 'states.ReplicaState', reason, now):
     r"""End a pause, if there is one; return its log line.
 
     The caller advances the commit index.
--- a/poplarstep/consensus/promotion.py
+++ b/poplarstep/consensus/promotion.py
@@ -4,14 +4,19 @@
 counts it might lack an acknowledged change.
 """
 
+import typing
+
 from poplarstep.consensus import commit_pause
 from poplarstep.consensus import membership
 from poplarstep.consensus import message
 from poplarstep.consensus import progress as progresses
 from poplarstep.consensus import replication
 
+if typing.TYPE_CHECKING:
+    from poplarstep.consensus import state as states
+
 
-def tick(state, now):
+def tick(state: 'states.ReplicaState', now):
     r"""Promote a complete learner; end a pause that is over."""
     effects = promote(state, now)
     pause = state.commit_pause
@@ -28,7 +33,7 @@
         state, reason, now) + replication.advance_commit(state, now)
 
 
-def promote(state, now):
+def promote(state: 'states.ReplicaState', now):
     r"""Make one learner a voter if it holds all committed entries.
 
     The promotion ends a pause of commits. The commit index advances once the
@@ -56,7 +61,7 @@
     return []
 
 
-def prepare(state, reply, now):
+def prepare(state: 'states.ReplicaState', reply, now):
     r"""Pause commits if the sender is a learner that lacks little.
 
     It is called after the entries that the learner lacks have been sent.
--- a/poplarstep/consensus/replies.py
+++ b/poplarstep/consensus/replies.py
@@ -1,5 +1,7 @@
 r"""Leader: replies of the members, and what is sent to them next."""
 
+import typing
+
 from poplarstep.consensus import handlers
 from poplarstep.consensus import peer
 from poplarstep.consensus import promotion
@@ -7,9 +9,12 @@
 from poplarstep.consensus import roles
 from poplarstep.consensus import state as states
 
+if typing.TYPE_CHECKING:
+    from poplarstep.consensus import progress as progresses
+
 
 @handlers.PEER_MESSAGES.handles(peer.AppendReply)
-def handle_append_reply(state, received, now):
+def handle_append_reply(state: states.ReplicaState, received, now):
     r"""Update the progress of a member after ``AppendEntries``."""
     reply = received.message
     progress = progress_of_sender(state, reply)
@@ -33,7 +38,7 @@
 
 
 @handlers.PEER_MESSAGES.handles(peer.SnapshotReply)
-def handle_snapshot_reply(state, received, now):
+def handle_snapshot_reply(state: states.ReplicaState, received, now):
     r"""Update the progress of a member after ``InstallSnapshot``."""
     reply = received.message
     progress = progress_of_sender(state, reply)
@@ -57,7 +62,7 @@
     return effects
 
 
-def progress_of_sender(state, reply):
+def progress_of_sender(state: states.ReplicaState, reply):
     r"""Return the sender's progress if the reply is for this term.
 
     A host without a group has term 0; its reply asks for a snapshot and
@@ -73,7 +78,7 @@
     return progress
 
 
-def step_down_for_higher_term(state, reply, now):
+def step_down_for_higher_term(state: states.ReplicaState, reply, now):
     r"""Step down if a member replies with a higher term."""
     if reply.term > state.term and (
             reply.sender in state.progress_by_identity):
@@ -81,7 +86,8 @@
     return []
 
 
-def backtrack(state, progress, reply):
+def backtrack(
+        state: states.ReplicaState, progress: 'progresses.Progress', reply):
     r"""Move the next index back after a conflict, a whole term at a time.
 
     Returns
@@ -106,7 +112,7 @@
     return former != (progress.next_index, progress.snapshot_index)
 
 
-def continue_sending(state, identity, now):
+def continue_sending(state: states.ReplicaState, identity, now):
     r"""Send more if the member still lacks entries."""
     progress = state.progress_by_identity.get(identity)
     if progress is None or progress.data_in_flight or (
--- a/poplarstep/opaque_flows/balancer_state.py
+++ b/poplarstep/opaque_flows/balancer_state.py
@@ -92,7 +92,7 @@
     def __init__(self, now):
         self.round_count = 0
         self.looked_up_at = 0
-        self.waiting_packets = ()
+        self.waiting_packets: tuple = ()
         self.passed_at_by_agent = NOT_PASSED
         self.is_late = False
         self.late_deadline = 0
@@ -219,7 +219,7 @@
             self, catalogue, confirmed, placement, random, survey_state,
             tied_percent, locality):
         self.catalogue = catalogue
-        self.surveys = survey_state
+        self.surveys: pending_flows.SurveyState = survey_state
         self.known_flows = known_flows.make_known_flows()
         self.locality = locality
         self.candidates = locality.make_index(catalogue)
@@ -231,7 +231,7 @@
         self.confirmed = confirmed
         self.placement = placement
         self.random = random
-        self.tracked_by_flow = {}
+        self.tracked_by_flow: dict[bytes, TrackedFlow] = {}
         self.early_opening_by_flow = {}
         self.tie_limits = tied_offers.make_tie_limits(tied_percent)
         self.late_blocked_until = 0
@@ -248,7 +248,7 @@
 
 def make_flow_balancer(
         catalogue, confirmed, placement, random, survey_state=None,
-        tied_percent=0, locality=None):
+        tied_percent=0, locality=None) -> FlowBalancerState:
     r"""Return the state of a balancer with an empty flow table.
 
     Parameters
--- a/poplarstep/opaque_flows/uncertain_agents.py
+++ b/poplarstep/opaque_flows/uncertain_agents.py
@@ -20,11 +20,15 @@
 """
 
 import math
+import typing
 
 from poplarstep.opaque_flows import lookup_budget
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import pending_flows
 
+if typing.TYPE_CHECKING:
+    from poplarstep.opaque_flows import balancer_state as states
+
 # Callers repeat a packet after this time, and double the interval each time.
 FIRST_COPY_MS = 200
 # How late a copy may be.
@@ -47,25 +51,25 @@
 MAXIMUM_REST_S = 1.5
 
 
-def silent(pending, agents):
+def silent(pending: pending_flows.PendingFlow, agents):
     r"""Return the agents among ``agents`` that have not answered."""
     return [agent for agent in agents if agent not in pending.uncertain_at]
 
 
-def unblocked_at(pending, agents):
+def unblocked_at(pending: pending_flows.PendingFlow, agents):
     r"""Return from when on silent agents no longer hold back the packet."""
     return max((
         pending.asked_at.get(agent, math.inf) + SILENCE_LIMIT_MS
         for agent in silent(pending, agents)), default=-math.inf)
 
 
-def is_copy_overdue(pending, now):
+def is_copy_overdue(pending: pending_flows.PendingFlow, now):
     r"""Return whether the caller would have repeated the latest packet."""
     interval = pending.packet_at - pending.arrived_at + FIRST_COPY_MS
     return now - pending.packet_at > interval + COPY_MARGIN_MS
 
 
-def due_agents(pending, agents, now):
+def due_agents(pending: pending_flows.PendingFlow, agents, now):
     r"""Return the uncertain agents among ``agents`` that may get the packet.
 
     An agent that got an earlier packet gets another one only if the caller
@@ -84,7 +88,7 @@
                 pending.uncertain_at[agent], pending.packet_at))]
 
 
-def recipients(pending, agents, now):
+def recipients(pending: pending_flows.PendingFlow, agents, now):
     r"""Return the uncertain agents among ``agents`` that get the packet now.
 
     They are the likely ones, if any of these is due. The others wait while
@@ -100,7 +104,7 @@
     return [] if awaited else due
 
 
-def unasked(pending, agents):
+def unasked(pending: pending_flows.PendingFlow, agents):
     r"""Return the agents that got a packet after their latest answer."""
     passed_at = pending.tracked.passed_at_by_agent
     return [
@@ -109,7 +113,7 @@
         and passed_at[agent] >= pending.uncertain_at[agent]]
 
 
-def send(state, now):
+def send(state: 'states.FlowBalancerState', now):
     r"""Send packets to uncertain agents, in order, while budget is left.
 
     Flows whose likely agents did not take the packet come first.
@@ -134,18 +138,20 @@
     return effects
 
 
-def _in_order(surveys):
+def _in_order(surveys: pending_flows.SurveyState):
     r"""Return the waiting flows, in order of arrival in two groups."""
     return sorted(
         surveys.packet_queue,
         key=lambda flow: not surveys.pending_by_flow[flow].rest_bytes)
 
 
-def _rest_limit(surveys):
+def _rest_limit(surveys: pending_flows.SurveyState):
     return surveys.packet_budget.burst * MAXIMUM_REST_S
 
 
-def _choose(surveys, pending, agents, now):
+def _choose(
+        surveys: pending_flows.SurveyState,
+        pending: pending_flows.PendingFlow, agents, now):
     r"""Return the recipients, their bytes, and the bytes that may follow.
 
     All get the packet at once if what may follow exceeds the limit alone.
@@ -160,7 +166,9 @@
         pending.packet, len(chosen)), rest
 
 
-def _send_packet(state, pending, agents, now):
+def _send_packet(
+        state: 'states.FlowBalancerState', pending: pending_flows.PendingFlow,
+        agents, now):
     state.counters.uncertain_packets += len(agents)
     pending.rest_at = now + REST_DELAY_MS
     pending.next_at = now + RESULT_MS
@@ -171,7 +179,7 @@
     return [message.ToNode(agent, lookup) for agent in agents]
 
 
-def forget_old(tracked, now):
+def forget_old(tracked: 'states.TrackedFlow', now):
     r"""Remove the records of packets that no longer hold back others."""
     passed_at = tracked.passed_at_by_agent
     if passed_at and now - max(passed_at.values()) >= PACKET_INTERVAL_MS:
