--- a/poplarstep/opaque_flows/agent_lookups.py
+++ b/poplarstep/opaque_flows/agent_lookups.py
@@ -50,17 +50,17 @@
     if belongs_to_other_target(state, packet):
         forget_flow(state, packet, now)
         return []
-    if _holds(state, packet.flow):
+    if knows_flow(state, packet.flow):
         state.counters.found += 1
         return agent_requests.forward(state, event.source, packet, now) + [
             agent_flows.accepted(state, event.source, packet.flow)]
-    if not _may_hold_unknown_flow(state, packet.flow, now):
+    if not may_hold_unknown_flow(state, packet.flow, now):
         return []
     state.counters.passed_unsure += 1
     return agent_requests.forward(state, event.source, packet, now)
 
 
-def _holds(state: 'states.FlowAgentState', key):
+def knows_flow(state: 'states.FlowAgentState', key):
     r"""Return whether this agent knows that the target got the flow.
 
     A flow of which this agent has only passed a packet on may be at another
@@ -72,7 +72,7 @@
         flow.claimed or flow.offer is not None or flow.answered)
 
 
-def _may_hold_unknown_flow(state: 'states.FlowAgentState', flow, now):
+def may_hold_unknown_flow(state: 'states.FlowAgentState', flow, now):
     r"""Return whether the target may hold a flow that is not in the table.
 
     An earlier run of this agent may have started it, or it was removed from a
@@ -88,11 +88,6 @@
     return started_before and _was_offered_to_service(state, flow)
 
 
-# Used by ``poplarstep.opaque_flows.claims``, which registers a handler too.
-knows_flow = _holds
-may_hold_unknown_flow = _may_hold_unknown_flow
-
-
 def _was_offered_to_service(state: 'states.FlowAgentState', flow):
     r"""Return whether the flow's route belongs or belonged to the target.
 
@@ -112,10 +107,10 @@
     if belongs_to_other_target(state, query):
         forget_flow(state, query, now)
         return _denial(state, event)
-    if _holds(state, query.flow):
+    if knows_flow(state, query.flow):
         state.counters.found += 1
         return [agent_flows.accepted(state, event.source, query.flow)]
-    if _may_hold_unknown_flow(state, query.flow, now):
+    if may_hold_unknown_flow(state, query.flow, now):
         return [message.ToNode(
             event.source, message.FlowUncertain(query.flow))]
     return _denial(state, event)
@@ -141,9 +136,9 @@
         if belongs_to_other_target(state, item):
             forget_flow(state, item, now)
             denied.append(item.flow)
-        elif _holds(state, item.flow):
+        elif knows_flow(state, item.flow):
             held.append(item.flow)
-        elif _may_hold_unknown_flow(state, item.flow, now):
+        elif may_hold_unknown_flow(state, item.flow, now):
             uncertain.append(item.flow)
         else:
             denied.append(item.flow)
