--- a/review/lib2/kit.py
+++ b/review/lib2/kit.py
@@ -138,6 +138,10 @@
             self.file.flush()
 
 
+def _stop(number, frame):
+    raise SystemExit(2)
+
+
 class Process:
     """A program of the project, as the platform runs it."""
 
@@ -208,6 +212,8 @@
 
     def __init__(self, record_path, controls=3, balancers=2,
                  heartbeat_ms=770):
+        # Ended by a signal, a script ends what it has started, too.
+        signal.signal(signal.SIGTERM, _stop)
         self.record = Record(record_path)
         self.heartbeat_ms = heartbeat_ms
         self.holder = tempfile.TemporaryDirectory(prefix='review-')
