Tell in one place whether a target is silent or absent

Change: agent_state.is_silent and is_absent. presence no longer imports agent_state for annotations only.

Ruled out: nothing; no behaviour changes.

--- a/poplarstep/opaque_flows/admission.py
+++ b/poplarstep/opaque_flows/admission.py
@@ -20,10 +20,9 @@
 
 def rejection_reason(state: states.FlowAgentState, service, now):
     r"""Return why no flow of a service may start now, or an empty string."""
-    target = state.target
-    if target is None or state.departed or (
-            now - target.last_heartbeat_at > state.heartbeat_timeout_ms):
+    if states.is_absent(state, now):
         return message.ABSENT
+    target = state.target
     configured = state.catalogue.service_by_name.get(target.service)
     if configured is None or configured.number != service:
         return message.WRONG_SERVICE
--- a/poplarstep/opaque_flows/agent_requests.py
+++ b/poplarstep/opaque_flows/agent_requests.py
@@ -77,10 +77,8 @@
 
 def _is_ending(state: states.FlowAgentState, now):
     r"""Return whether the target or this agent may end soon."""
-    target = state.target
     return (
-        target is None or target.leaving or state.departed or state.leaving
-        or now - target.last_heartbeat_at > state.heartbeat_timeout_ms
+        state.leaving or states.is_absent(state, now) or state.target.leaving
         or states.is_data_centre_out(state))
 
 
--- a/poplarstep/opaque_flows/agent_state.py
+++ b/poplarstep/opaque_flows/agent_state.py
@@ -262,6 +262,20 @@
     return centre is not None and centre.out
 
 
+def is_silent(state: 'FlowAgentState', now):
+    r"""Return whether no heartbeat has come for too long, or none at all."""
+    return state.target is None or (
+        now - state.target.last_heartbeat_at > state.heartbeat_timeout_ms)
+
+
+def is_absent(state: 'FlowAgentState', now):
+    r"""Return whether the target may have ended.
+
+    A target of another service may then have taken over its address.
+    """
+    return state.departed or is_silent(state, now)
+
+
 def slots(state: 'FlowAgentState'):
     r"""Return how many requests the target runs concurrently, at least 1."""
     return max(1, state.target.slots) if state.target else 1
--- a/poplarstep/opaque_flows/presence.py
+++ b/poplarstep/opaque_flows/presence.py
@@ -7,21 +7,17 @@
 the 3 s after which a leaving target gets no new work start at the answer.
 """
 
-import typing
-
 from poplarstep.configuration import model
 from poplarstep.core import effect
 from poplarstep.core import stage
 from poplarstep.core import timer
 from poplarstep.dissemination import message as dissemination
 from poplarstep.opaque_flows import agent_requests
+from poplarstep.opaque_flows import agent_state as states
 from poplarstep.opaque_flows import dead_flows
 from poplarstep.opaque_flows import target as targets
 from poplarstep.opaque_flows import target_probe
 
-if typing.TYPE_CHECKING:
-    from poplarstep.opaque_flows import agent_state as states
-
 TICK = 'hold'
 
 PRESENCE = stage.Stage('presence')
@@ -34,7 +30,7 @@
 
 
 @PRESENCE.handles(targets.Heartbeat)
-def heartbeat(state: 'states.FlowAgentState', event, now):
+def heartbeat(state: states.FlowAgentState, event, now):
     r"""Update the target from a heartbeat; announce changes to balancers."""
     state.counters.heartbeats += 1
     reply = [targets.HeartbeatReply(event.key)] if event.key else []
@@ -53,7 +49,7 @@
     return effects + _announce(state, now) + reply
 
 
-def _replace_target(state: 'states.FlowAgentState', event, now):
+def _replace_target(state: states.FlowAgentState, event, now):
     r"""Replace the known target by a new instance.
 
     The new instance returns the held packets of the former one.
@@ -73,7 +69,7 @@
         ('cold_ms', event.cold_ms)))]
 
 
-def _forget_flows(state: 'states.FlowAgentState', now):
+def _forget_flows(state: states.FlowAgentState, now):
     r"""Forget all flows of a target that has ended."""
     state.flow_by_key.clear()
     state.claims.returned.clear()
@@ -84,7 +80,7 @@
 
 
 @PRESENCE.handles(target_probe.TargetProbed)
-def target_probed(state: 'states.FlowAgentState', event, now):
+def target_probed(state: states.FlowAgentState, event, now):
     r"""Reset the flows of a target that refuses connections."""
     if not target_probe.record(state, event, now):
         return []
@@ -98,7 +94,7 @@
     return effects + _forget_flows(state, now) + _announce(state, now)
 
 
-def _is_later_start(state: 'states.FlowAgentState', event):
+def _is_later_start(state: states.FlowAgentState, event):
     r"""Return whether a heartbeat proves that the known target has ended.
 
     One that names no start time or an unknown service may be odd input.
@@ -117,7 +113,7 @@
 
 
 @PRESENCE.handles(targets.Departure)
-def departure(state: 'states.FlowAgentState', event, now):
+def departure(state: states.FlowAgentState, event, now):
     r"""Start no more flows at a target that is about to exit."""
     reply = [targets.HeartbeatReply(event.key)] if event.key else []
     if state.target is None or state.target.identity != event.identity:
@@ -141,24 +137,19 @@
 
 
 @PRESENCE.handles(Leave)
-def leave(state: 'states.FlowAgentState', event, now):
+def leave(state: states.FlowAgentState, event, now):
     r"""Accept no new flows from now on, and announce it."""
     state.leaving = True
     effects = []
     if dead_flows.has_ended(state, now):
         effects = dead_flows.reset_all(state, 'target-departed')
     elif state.resets_dead_flows and not state.probe.outstanding and (
-            _is_silent(state, now)):
+            states.is_silent(state, now)):
         effects = target_probe.start(state)
     return effects + _announce(state, now)
 
 
-def _is_silent(state: 'states.FlowAgentState', now):
-    return state.target is None or (
-        now - state.target.last_heartbeat_at > state.heartbeat_timeout_ms)
-
-
-def silence_due_at(state: 'states.FlowAgentState'):
+def silence_due_at(state: states.FlowAgentState):
     r"""Return when a target without a heartbeat counts as silent, in ms.
 
     A target that is announced as leaving already is announced again only when
@@ -178,26 +169,26 @@
 
 
 @PRESENCE.handles(timer.Tick)
-def check_silence(state: 'states.FlowAgentState', event, now):
+def check_silence(state: states.FlowAgentState, event, now):
     r"""Announce a target whose heartbeats have stopped as leaving."""
     if event.name == TICK:
         return [event] + target_probe.tick(state, now) + _announce(state, now)
     return [event]
 
 
-def _announce(state: 'states.FlowAgentState', now):
+def _announce(state: states.FlowAgentState, now):
     r"""Release held requests and announce the target, as far as needed."""
     return agent_requests.release_if_ending(state, now) + (
         _announcement(state, now))
 
 
-def _announcement(state: 'states.FlowAgentState', now):
+def _announcement(state: states.FlowAgentState, now):
     r"""Return an announcement if its facts differ from the last one."""
     known = state.target
     if known is None:
         return _announce_end(state, now)
     leaving = known.leaving or state.leaving or state.departed or (
-        _is_silent(state, now))
+        states.is_silent(state, now))
     # Control hosts remove a target that has ended: it can't answer the
     # surveys of balancers.
     ended = state.resets_dead_flows and (
@@ -218,7 +209,7 @@
             ('leaving', leaving), ('ended', ended)))]
 
 
-def _announce_end(state: 'states.FlowAgentState', now):
+def _announce_end(state: states.FlowAgentState, now):
     r"""Announce that there is no target, which an earlier run announced."""
     if state.last_announcement is not None or (
             not target_probe.is_end_due(state, now)):
