Forward no copy of an opening packet to a target that may have ended

Cause: the agent starts no flow at a target without a heartbeat for target-fresh, but Offer of a flow that it had started was forwarded without any check. Copies of the opening packet leave 200 and 600 ms after it, so a flow that started up to 1.9 s after the last heartbeat had copies until 2.5 s, while the address may be used again after 2 s. The successor accepts any opening packet, and runs what follows, until its first heartbeat arrives.

Change: a copy for a target that is absent (silent, or departed) is rejected with the new reason may-have-started. The balancer offers the flow to another target and, as the silent one may hold the flow, does not reset it.

Ruled out: no answer at all (the balancer waits 60 ms and marks the target as slow); the reason target-absent (it counts as proof that the flow is open nowhere, and a live target without heartbeats may have opened it); a shorter target-fresh (copies would need 1.3 s, little more than a heartbeat interval).

--- a/poplarstep/opaque_flows/agent.py
+++ b/poplarstep/opaque_flows/agent.py
@@ -75,9 +75,8 @@
 def offer(state: states.FlowAgentState, event, now):
     r"""Start a new flow, queue it, or reject it.
 
-    An offer of a flow that has started already is a retransmission and is
-    forwarded. An offer that may have waited during a pause of this process
-    is dropped: the balancer has offered the flow elsewhere.
+    An offer that may have waited during a pause of this process is dropped:
+    the balancer has offered the flow elsewhere.
     """
     state.counters.offers += 1
     if pauses.may_be_stale(state, now):
@@ -87,10 +86,7 @@
     claims.withdraw(state, offered.flow)
     flow = state.flow_by_key.get(offered.flow)
     if flow is not None and flow.ended_at is None:
-        flow.balancer = event.source
-        return [
-            message.ToTarget(offered.datagram),
-            agent_flows.accepted(state, event.source, offered.flow)]
+        return _forward_copy(state, event, flow, now)
     if agent_ties.rejects_offer(state, event.source, offered, now):
         return agent_ties.reject_offer(state, event.source, offered)
     reason = admission.rejection_reason(state, offered.service, now)
@@ -112,6 +108,24 @@
     return agent_flows.queue_offer(state, event.source, offered, now)
 
 
+def _forward_copy(state: states.FlowAgentState, event, flow, now):
+    r"""Forward a copy of the opening packet of a flow that has started.
+
+    A target that may have ended gets no copy: a target of another service
+    that has taken over its address would accept it as a new flow.
+    """
+    key = event.message.flow
+    if states.is_absent(state, now):
+        return [
+            agent_flows.rejected(
+                state, event.source, key, message.MAY_HAVE_STARTED),
+            agent_flows.rejection_log(state, key, message.MAY_HAVE_STARTED)]
+    flow.balancer = event.source
+    return [
+        message.ToTarget(event.message.datagram),
+        agent_flows.accepted(state, event.source, key)]
+
+
 @agent_flows.BALANCER_MESSAGES.handles(message.FlowPacket)
 def flow_packet(state: states.FlowAgentState, event, now):
     r"""Forward a later packet; the target returns it if it lacks the flow."""
--- a/poplarstep/opaque_flows/balancer.py
+++ b/poplarstep/opaque_flows/balancer.py
@@ -182,6 +182,8 @@
     r"""Offer a rejected flow to the next target, or refuse it."""
     answer = event.message
     tracked = state.tracked_by_flow.get(answer.flow)
+    if tracked is not None and answer.reason == message.MAY_HAVE_STARTED:
+        tracked.may_be_open = True
     if tracked is not None and tracked.tie is not None:
         return _tied_offer_rejected(state, tracked, event, now)
     if tracked is None or tracked.offered_to is None or (
--- a/poplarstep/opaque_flows/message.py
+++ b/poplarstep/opaque_flows/message.py
@@ -23,6 +23,9 @@
 WRONG_SERVICE = 'wrong-service'
 DATA_CENTRE_OUT = 'data-centre-out'
 RETURNED = 'returned-by-target'
+# The target got the opening packet and has been silent since; it may hold the
+# flow.
+MAY_HAVE_STARTED = 'may-have-started'
 # The other agent of a tied flow has started it.
 WITHDRAWN = 'withdrawn'
 
--- a/poplarstep/opaque_flows/offers.py
+++ b/poplarstep/opaque_flows/offers.py
@@ -41,7 +41,8 @@
 ROUND_INTERVAL_MS = 60
 # Reasons for a rejection that may no longer hold in the next round.
 TRANSIENT_REASONS = frozenset((
-    message.ABSENT, message.COLD, message.WRONG_SERVICE, message.LEAVING))
+    message.ABSENT, message.COLD, message.WRONG_SERVICE, message.LEAVING,
+    message.MAY_HAVE_STARTED))
 MAXIMUM_TRACKED_FLOWS = 200_000
 
 
--- a/poplarstep/opaque_flows/tests/test_agent.py
+++ b/poplarstep/opaque_flows/tests/test_agent.py
@@ -105,6 +105,40 @@
     assert not admission.is_cold(state, 300)
 
 
+@pytest.mark.parametrize('changes, now, reasons', [
+    pytest.param([], 1900, [], id='target with heartbeats'),
+    pytest.param(
+        [], 1901, [message.MAY_HAVE_STARTED],
+        id='a target of another service may have taken over the address'),
+    pytest.param(
+        [target.Departure(0, 'i-1')], 200, [message.MAY_HAVE_STARTED],
+        id='the target may have exited'),
+    pytest.param(
+        [fixtures.heartbeat(started_at=6000, service='certs')], 200,
+        [message.WRONG_SERVICE], id='another service has taken over'),
+])
+@pytest.mark.parametrize('has_answered', [False, True])
+def test_copies_of_an_opening_packet_at_a_target_that_may_have_ended(
+        has_answered, changes, now, reasons):
+    """Guards against requests that a target of another service runs.
+
+    Copies of the opening packet of a flow that had started were forwarded
+    without any check. The successor of a target that had crashed accepted
+    them, and ran the requests that followed.
+    """
+    state = fixtures.make_agent()
+    fixtures.send_to_agent(state, fixtures.offer())
+    if has_answered:
+        agent.AGENT.process(
+            state, message.FromTarget(fixtures.segment(opening=True)), 5)
+    for item in changes:
+        presence.PRESENCE.process(state, item, 10)
+    effects = fixtures.send_to_agent(state, fixtures.offer(), now)
+    assert bool(fixtures.to_target(effects)) == (not reasons)
+    assert [item.reason for item in fixtures.messages_of(
+        effects, message.FlowRejected)] == reasons
+
+
 @pytest.mark.parametrize('offer_interval_ms', [0, 10, 90, 130])
 def test_cold_target_gets_no_more_than_its_limit(offer_interval_ms):
     """Guards against more flows in any second than a cold target can take."""
--- a/poplarstep/opaque_flows/tests/test_balancer.py
+++ b/poplarstep/opaque_flows/tests/test_balancer.py
@@ -50,7 +50,7 @@
 
 @pytest.mark.parametrize('reason', [
     message.BUSY, message.COLD, message.LEAVING, message.ABSENT,
-    message.WRONG_SERVICE, message.RETURNED])
+    message.WRONG_SERVICE, message.RETURNED, message.MAY_HAVE_STARTED])
 def test_rejected_flow_is_offered_to_another_target(reason):
     """Guards against a flow that is lost at a target that can't accept it."""
     state = fixtures.make_balancer()
