Keep a service that is no longer listed while it may hold flows

When a balancer was stopped later, the open flows that moved to the other balancer were reset with their next request, although their target was well and held them.

Cause: a whole configuration removed each service that it does not list, with its targets, and a route forgot it as a former service. A balancer that does not know a flow asks the agents of the route's present and former services. The one that held the flow was not among them, all that were asked denied it, and a flow that all deny is reset.

As a test in memory: test_a_flow_of_a_service_that_is_no_longer_listed_is_found gets the reset with the former code if the service is not listed, and none if it is.

Change: such a service is retired instead (Service.retired) while a route names it as a former service. Its targets stay in the configuration, so their flows are found; they get no new flows, and agents refuse offers of balancers with an older configuration as before. A configuration that lists it again makes it an ordinary service with the same number. It is removed with its targets when no route names it any more: then no address is left whose flows it may hold.

The last assertions of test_former_services_belong_to_the_address stated the fault (no former service once it is unlisted). They now state that the former service stays and is retired.

Ruled out: dropping retired services without targets (an agent that restarts at that moment would not be taken again); asking the agents of all services (136 messages a flow on the large deployment); no reset without the former service (callers would wait until their timeout).

--- a/poplarstep/configuration/catalogue.py
+++ b/poplarstep/configuration/catalogue.py
@@ -181,10 +181,14 @@
 
     def _rebuild_selectable(self, service):
         targets = self.targets_by_service.get(service, {}).values()
-        if service not in self.service_by_number:
+        known = self.service_by_number.get(service)
+        if known is None:
             # Numbers are never reused, so the entry can be dropped.
             self.selectable_by_service.pop(service, None)
             return
+        if known.retired:
+            self.selectable_by_service[service] = ()
+            return
         self.selectable_by_service[service] = tuple(
             item for item in targets if self.is_selectable(item))
 
--- a/poplarstep/configuration/model.py
+++ b/poplarstep/configuration/model.py
@@ -26,19 +26,23 @@
         Earlier addresses; established flows may still use them.
     cold_per_second : float
         Requests per second that a target can handle while it warms up.
+    retired : bool
+        The configuration no longer lists the service. Its targets keep their
+        open flows and get no new ones.
 
     A service whose address is None is reached through routes only.
     """
 
     __slots__ = (
         'name', 'number', 'address', 'priority', 'drain_deadline_ms',
-        'former_addresses', 'changed', 'cold_per_second')
+        'former_addresses', 'changed', 'cold_per_second', 'retired')
 
     def __init__(
             self, name: str, number: int, address: address.Address | None,
             priority: int, drain_deadline_ms: int,
             former_addresses: tuple[address.Address, ...], changed: int,
-            cold_per_second: float = 0.0):
+            cold_per_second: float = 0.0, retired: bool = False):
+        self.retired = retired
         self.name = name
         self.number = number
         self.address = address
--- a/poplarstep/configuration/replacement.py
+++ b/poplarstep/configuration/replacement.py
@@ -8,6 +8,10 @@
 counts as applied, so a resend gets the same answer as the first copy. Only
 objects that differ are sent to the nodes: if one timeout differs among
 hundreds of routes, one route is sent.
+
+A flow stays where it was opened while its route's address has a route. A
+service that the wanted configuration does not list is retired, and removed
+with its targets once no route names it as a former service.
 """
 
 from returns import result
@@ -45,8 +49,9 @@
     routes = _routes(machine, wanted, number_by_name)
     machine.document = wanted.document
     return result.Success(
-        services + _removed_routes(machine, wanted) + routes
-        + _removed_services(machine, wanted)
+        services + _removed_routes(machine, wanted)
+        + _changed_routes(machine, routes)
+        + _unlisted_services(machine, wanted, routes)
         + [model.Policy(wanted.revision, wanted.flow_idle_ms, 0)])
 
 
@@ -102,15 +107,17 @@
                 item.name, machine.next_service, None, PRIORITY,
                 DRAIN_DEADLINE_MS, (), 0, item.cold_per_second))
             machine.next_service += 1
-        elif existing.cold_per_second != item.cold_per_second:
-            changes.append(existing.replace(
-                cold_per_second=item.cold_per_second))
+            continue
+        service = existing.replace(
+            cold_per_second=item.cold_per_second, retired=False)
+        if service != existing:
+            changes.append(service)
     return changes
 
 
 def _routes(machine, wanted, number_by_name):
-    r"""Return the routes to add or to change."""
-    changes = []
+    r"""Return the wanted routes with their numbers and former services."""
+    routes = []
     for item in wanted.routes:
         existing = machine.catalogue.route_by_name.get(item.name)
         shares = tuple(
@@ -118,37 +125,34 @@
             for share in item.shares)
         number = machine.next_route if existing is None else existing.number
         changed = 0 if existing is None else existing.changed
-        route = model.Route(
+        routes.append(model.Route(
             item.name, number, item.address, item.idempotent, item.priority,
             item.timeout_ms, item.objective_ms, shares, changed,
-            _former_services(machine, wanted, item.address, shares))
+            _former_services(machine, item.address, shares)))
         if existing is None:
             machine.next_route += 1
-        if route != existing:
-            changes.append(route)
-    return changes
+    return routes
 
 
-def _former_services(machine, wanted, route_address, shares):
-    r"""Return the services that held the flows of an address before.
-
-    Services that the wanted configuration removes lose their targets, and
-    with them all flows.
-    """
+def _former_services(machine, route_address, shares):
+    r"""Return the services that held the flows of an address before."""
     previous = machine.catalogue.route_by_address.get(route_address)
     if previous is None:
         return ()
-    kept_names = {item.name for item in wanted.services}
     present = {share.service for share in shares}
     former = []
     for number in model.services_of_flows(previous):
-        service = machine.catalogue.service_by_number.get(number)
-        if service is not None and service.name in kept_names and (
+        if number in machine.catalogue.service_by_number and (
                 number not in present and number not in former):
             former.append(number)
     return tuple(former[:MAXIMUM_FORMER_SERVICES])
 
 
+def _changed_routes(machine, routes):
+    route_by_name = machine.catalogue.route_by_name
+    return [item for item in routes if item != route_by_name.get(item.name)]
+
+
 def _removed_routes(machine, wanted):
     names = {item.name for item in wanted.routes}
     return [
@@ -157,15 +161,26 @@
         if name not in names]
 
 
-def _removed_services(machine, wanted):
-    r"""Return the removals of services, each after those of its targets."""
+def _unlisted_services(machine, wanted, routes):
+    r"""Return the changes that retire or remove services.
+
+    The removal of a service follows those of its targets.
+    """
     names = {item.name for item in wanted.services}
-    removals = []
+    former = {
+        number for route in routes for number in route.former_services}
+    changes = []
     for name, service in machine.catalogue.service_by_name.items():
         if name in names:
             continue
-        targets = machine.catalogue.targets_by_service.get(
-            service.number, {})
-        removals.extend(model.Removal('target', number) for number in targets)
-        removals.append(model.Removal('service', service.number))
-    return removals
+        if service.number not in former:
+            changes.extend(_removals(machine, service))
+        elif not service.retired:
+            changes.append(service.replace(retired=True))
+    return changes
+
+
+def _removals(machine, service):
+    targets = machine.catalogue.targets_by_service.get(service.number, {})
+    return [model.Removal('target', number) for number in targets] + [
+        model.Removal('service', service.number)]
--- a/poplarstep/configuration/tests/test_replacement.py
+++ b/poplarstep/configuration/tests/test_replacement.py
@@ -28,6 +28,13 @@
         b'document %d' % revision)
 
 
+def announced(name, service):
+    """Return the command that registers a target."""
+    return command.Announce((model.Announcement(
+        name, service, 'maadi', address.Address('10.0.0.1', 7000), 1, 1, 1, 1,
+        False),))
+
+
 def apply(machine, body):
     """Apply a command without a client."""
     return machines.apply_command(
@@ -154,6 +161,60 @@
     assert tuple(name_by_number[number] for number in found) == former
 
 
+@pytest.mark.parametrize('listed, shares, retired, former', [
+    pytest.param(
+        ('certs',), ('certs',), ['dispatch'], ['dispatch'],
+        id='its route moved with the same configuration'),
+    pytest.param(
+        ('dispatch', 'certs'), ('certs',), [], ['dispatch'],
+        id='still listed'),
+    pytest.param((
+        'certs',), None, [], [], id='its route was removed'),
+])
+def test_a_service_is_kept_while_its_targets_may_hold_flows(
+        listed, shares, retired, former):
+    """Guards against open flows that are reset when their service leaves.
+
+    The targets of a service that a configuration no longer listed were
+    removed with it, and balancers asked no agent of them for the flows.
+    """
+    machine = machines.Machine()
+    apply(machine, wanted(1))
+    apply(machine, announced('side-1', 'dispatch'))
+    services = [item for item in SERVICES if item.name in listed]
+    apply(machine, wanted(
+        2, [route(0, name) for name in shares or ()], services))
+    catalogue = machine.catalogue
+    assert [item.name for item in catalogue.service_by_name.values()
+            if item.retired] == retired
+    assert [catalogue.service_by_number[number].name
+            for item in catalogue.route_by_name.values()
+            for number in item.former_services] == former
+    assert list(catalogue.target_by_name) == ['side-1'] * bool(former)
+    assert bool(former) == (catalogue.service_by_name.get(
+        'dispatch') is not None)
+
+
+def test_a_retired_service_may_be_listed_again_or_removed():
+    """Guards against services that stay, or stay retired, for good."""
+    machine = machines.Machine()
+    apply(machine, wanted(1))
+    number = machine.catalogue.service_by_name['dispatch'].number
+    moved = [route(0, 'certs'), route(1, 'certs')]
+    apply(machine, wanted(2, moved, SERVICES[1:]))
+    assert machine.catalogue.service_by_name['dispatch'].retired
+    apply(machine, announced('side-1', 'dispatch'))
+    assert machine.catalogue.selectable_by_service[number] == ()
+    apply(machine, wanted(3, moved, SERVICES))
+    assert machine.catalogue.service_by_name['dispatch'] == (
+        machine.catalogue.service_by_number[number])
+    assert len(machine.catalogue.selectable_by_service[number]) == 1
+    apply(machine, wanted(4, moved, SERVICES[1:]))
+    apply(machine, wanted(5, [], SERVICES[1:]))
+    assert list(machine.catalogue.service_by_name) == ['certs']
+    assert not machine.catalogue.target_by_name
+
+
 @pytest.mark.parametrize('change', [
     pytest.param({'name': 'r-9'}, id='the route has another name'),
     pytest.param({'shares': (
@@ -172,4 +233,5 @@
     apply(machine, wanted(
         3, [route(0, 'certs').replace(**change)], services[1:]))
     moved = machine.catalogue.route_by_address[ADDRESSES[0]]
-    assert moved.former_services == ()
+    assert moved.former_services == (dispatch,)
+    assert machine.catalogue.service_by_number[dispatch].retired
--- a/poplarstep/control/query.py
+++ b/poplarstep/control/query.py
@@ -218,6 +218,8 @@
         found.append('leaving')
     if target.drained:
         found.append('drained by operators')
+    if catalogue.service_by_number[target.service].retired:
+        found.append('service retired')
     if catalogue.data_centre_out(target.data_centre):
         found.append('data centre out')
     return found
@@ -230,6 +232,8 @@
     if service.former_addresses:
         text += ', formerly %s' % ', '.join(
             str(item) for item in service.former_addresses)
+    if service.retired:
+        text += ', retired'
     return 'service', service.name, text
 
 
--- a/poplarstep/control/tests/test_query.py
+++ b/poplarstep/control/tests/test_query.py
@@ -69,6 +69,18 @@
         1, parser.parse(text).unwrap()), NOW)[0].rows
 
 
+def test_targets_of_a_retired_service_say_so():
+    r"""Guards against a target that seems to get new flows but gets none."""
+    machine, _, state = make_states()
+    catalogue = machine.catalogue
+    catalogue.apply([model.Change(
+        catalogue.version + 1,
+        catalogue.service_by_name['certs'].replace(retired=True))])
+    assert ask(state, 'show why target live') == (
+        ('live', 'service retired'),)
+    assert ask(state, 'show changes')[-1][-1].endswith(', retired')
+
+
 REASONS_WITHOUT_NEW_FLOWS = (
     # target, text in the first row
     ('live', 'none; balancers select it'),
--- a/poplarstep/opaque_flows/admission.py
+++ b/poplarstep/opaque_flows/admission.py
@@ -24,7 +24,8 @@
         return message.ABSENT
     target = state.target
     configured = state.catalogue.service_by_name.get(target.service)
-    if configured is None or configured.number != service:
+    if configured is None or configured.retired or (
+            configured.number != service):
         return message.WRONG_SERVICE
     if target.leaving or state.leaving:
         return message.LEAVING
--- a/poplarstep/opaque_flows/tests/test_moved_routes.py
+++ b/poplarstep/opaque_flows/tests/test_moved_routes.py
@@ -2,9 +2,13 @@
 
 import pytest
 
+from poplarstep.configuration import command
+from poplarstep.configuration import machine as machines
 from poplarstep.configuration import model
+from poplarstep.core import timer
 from poplarstep.opaque_flows import balancer
 from poplarstep.opaque_flows import message
+from poplarstep.opaque_flows import pending_flows
 from poplarstep.opaque_flows.tests import fixtures
 
 PACKET = message.FlowPacket(fixtures.FLOW, True, False, b'data')
@@ -34,6 +38,69 @@
         fixtures.AGENTS[number] for number in asked}
 
 
+def make_moved_catalogue(services):
+    """Return a catalogue after the route of service 1 has moved to service 2.
+
+    ``services`` are the names that the second configuration lists.
+    """
+    machine = machines.Machine()
+
+    def replace(revision, names, service):
+        machines.apply_command(machine, command.Command(
+            '', 0, command.ANY_VERSION, command.ReplaceConfiguration(
+                revision,
+                tuple(command.WantedService(name, 0.0) for name in names),
+                (command.WantedRoute(
+                    'r-1', fixtures.SERVICE_ADDRESS, False, 1, 2000, 150,
+                    (command.ServiceShare(service, 1),)),),
+                15_000, b'')))
+
+    replace(1, ('dispatch', 'certs'), 'dispatch')
+    machines.apply_command(machine, command.Command(
+        '', 0, command.ANY_VERSION, command.Announce(tuple(
+            model.Announcement(
+                'side-%d' % number, 'certs' if number == 3 else 'dispatch',
+                'maadi', agent, 1, 1, 1, 1, False)
+            for number, agent in enumerate(fixtures.AGENTS)))))
+    replace(2, services, 'certs')
+    return machine.catalogue
+
+
+@pytest.mark.parametrize('services', [('dispatch', 'certs'), ('certs',)])
+def test_a_flow_of_a_service_that_is_no_longer_listed_is_found(services):
+    """Guards against resets of open flows whose service has left.
+
+    A balancer that did not know such a flow asked the agents of the listed
+    services only, all of which denied it.
+    """
+    state = fixtures.make_balancer(
+        make_moved_catalogue(services),
+        survey_state=pending_flows.make_surveys(True, lambda now: 10_000))
+    effects = list(balancer.BALANCER.process(
+        state, message.FromCaller(fixtures.segment(data=10)), 0))
+    asked = {item.destination for item in effects}
+    for source in fixtures.AGENTS[1:]:
+        balancer.BALANCER.process(state, message.FromNode(
+            source, message.SurveyReply(0, (), (), (fixtures.FLOW,))), 1)
+    effects = list(balancer.BALANCER.process(
+        state, timer.Tick(balancer.TICK), 500))
+    assert not [item for item in effects if type(item) is message.ResetFlow]
+    assert asked == set(fixtures.AGENTS)
+
+
+@pytest.mark.parametrize('retired, reasons', [
+    (False, []), (True, [message.WRONG_SERVICE])])
+def test_a_retired_service_gets_no_new_flows(retired, reasons):
+    """Guards against flows that a balancer offers by an old configuration."""
+    catalogue = fixtures.make_catalogue()
+    state = fixtures.make_agent(catalogue)
+    catalogue.apply([model.Change(2, catalogue.service_by_number[
+        fixtures.SERVICE].replace(retired=retired))])
+    effects = fixtures.send_to_agent(state, fixtures.offer())
+    assert [item.reason for item in fixtures.messages_of(
+        effects, message.FlowRejected)] == reasons
+
+
 @pytest.mark.parametrize('question', [
     message.FlowLookup(PACKET), message.FlowQuery(fixtures.FLOW)],
     ids=['lookup', 'query'])
