Count a heartbeat that waited during a pause as old as the pause

Found by looking for other ways in which an agent trusts a target that may have ended.

Cause: the agent took the time at which it processed a heartbeat for the time at which the target was alive. A heartbeat that waited in its socket during a pause of the agent made a target fresh for another 1.9 s after the pause, though the target may have crashed, and its address may have been used again, meanwhile. Opening packets that waited are dropped after a pause, but new ones come at once.

Change: pauses.earliest_arrival; after a pause a heartbeat counts from the last tick before it. The target gets flows again with its next heartbeat.

Ruled out: dropping such heartbeats (they tell what the target is, and must be acknowledged); counting every heartbeat from the last tick (up to 200 ms of the 700 ms that a late heartbeat may take today). A delay of less than 400 ms is not noticed as a pause, so of the margin of 100 ms up to 300 ms may still be missing on a busy host.

--- a/poplarstep/opaque_flows/agent_state.py
+++ b/poplarstep/opaque_flows/agent_state.py
@@ -167,7 +167,7 @@
     withdrawal_by_flow : OrderedDict
         Tied flows that the other agent has started; see
         ``poplarstep.opaque_flows.agent_ties``.
-    last_tick_at, resumed_at : int or None
+    last_tick_at, paused_at, resumed_at : int or None
         See ``poplarstep.opaque_flows.pauses``.
     start_times : deque of int
         When the latest flows started, oldest first.
@@ -202,7 +202,8 @@
         'queue', 'start_times', 'leaving', 'departed', 'departed_at',
         'last_announcement', 'was_out_of_service',
         'back_in_service_at', 'started_unix_ms', 'counters',
-        'next_sweep_at', 'queue_ms', 'last_tick_at', 'resumed_at',
+        'next_sweep_at', 'queue_ms', 'last_tick_at', 'paused_at',
+        'resumed_at',
         'table_full_at', 'resets_dead_flows', 'probe', 'withdrawal_by_flow',
         'health', 'demand', 'claims')
 
@@ -230,6 +231,7 @@
         self.demand = demand.make_demand(
             settings['load-reports'] == 'on', now)
         self.last_tick_at = None
+        self.paused_at = None
         self.resumed_at = None
         self.start_times = collections.deque()
         self.leaving = False
--- a/poplarstep/opaque_flows/balancer_state.py
+++ b/poplarstep/opaque_flows/balancer_state.py
@@ -196,6 +196,8 @@
     retry_at_by_flow : dict
         Flows that no target accepted, and when the next round of offers
         starts, in ms.
+    paused_at : int or None
+        When the last tick before the latest pause of this process came.
     resumed_at : int or None
         When the first tick after a pause of this process came; None once
         a tick has come in time.
@@ -210,7 +212,7 @@
     __slots__ = (
         'catalogue', 'confirmed', 'placement', 'random', 'tracked_by_flow',
         'offered_by_flow', 'retry_at_by_flow', 'counters', 'next_sweep_at',
-        'last_tick_at', 'resumed_at', 'opening_ms', 'candidates',
+        'last_tick_at', 'paused_at', 'resumed_at', 'opening_ms', 'candidates',
         'wide_lookups', 'early_opening_by_flow', 'late_blocked_until',
         'surveys', 'tie_limits', 'agents', 'locality', 'traffic',
         'known_flows')
@@ -242,6 +244,7 @@
             catalogue, self.agents, self.counters)
         self.next_sweep_at = 0
         self.last_tick_at = None
+        self.paused_at = None
         self.resumed_at = None
         self.opening_ms = histogram.Histogram()
 
--- a/poplarstep/opaque_flows/pauses.py
+++ b/poplarstep/opaque_flows/pauses.py
@@ -31,13 +31,27 @@
         or state.resumed_at is not None)
 
 
+def earliest_arrival(state, now):
+    r"""Return the earliest time, in ms, at which a message can have arrived.
+
+    The message is processed now, and may have waited during a pause.
+    """
+    if not may_be_stale(state, now):
+        return now
+    if state.resumed_at is not None:
+        return state.paused_at
+    return state.last_tick_at
+
+
 def detect(state, now):
     r"""Record a pause of this process until a tick comes in time."""
-    paused_ms = 0 if state.last_tick_at is None else now - state.last_tick_at
-    state.last_tick_at = now
+    former_tick_at, state.last_tick_at = state.last_tick_at, now
+    paused_ms = 0 if former_tick_at is None else now - former_tick_at
     if paused_ms <= PAUSE_THRESHOLD_MS:
         state.resumed_at = None
         return []
+    if state.resumed_at is None:
+        state.paused_at = former_tick_at
     state.resumed_at = now
     state.counters.pauses += 1
     return [effect.LogEvent('resumed', (('paused_ms', paused_ms),))]
--- a/poplarstep/opaque_flows/presence.py
+++ b/poplarstep/opaque_flows/presence.py
@@ -15,6 +15,7 @@
 from poplarstep.opaque_flows import agent_requests
 from poplarstep.opaque_flows import agent_state as states
 from poplarstep.opaque_flows import dead_flows
+from poplarstep.opaque_flows import pauses
 from poplarstep.opaque_flows import target as targets
 from poplarstep.opaque_flows import target_probe
 
@@ -31,7 +32,11 @@
 
 @PRESENCE.handles(targets.Heartbeat)
 def heartbeat(state: states.FlowAgentState, event, now):
-    r"""Update the target from a heartbeat; announce changes to balancers."""
+    r"""Update the target from a heartbeat; announce changes to balancers.
+
+    A heartbeat that may have waited during a pause of this process is as old
+    as the pause: its sender may have ended since.
+    """
     state.counters.heartbeats += 1
     reply = [targets.HeartbeatReply(event.key)] if event.key else []
     known = state.target
@@ -40,10 +45,13 @@
         return reply
     target_probe.heard(state, now)
     effects = []
+    heard_at = pauses.earliest_arrival(state, now)
     if known is None or not targets.is_same_instance(known, event):
         effects = _replace_target(state, event, now)
+        state.target.last_heartbeat_at = heard_at
     else:
         _update_target(known, event, now)
+        known.last_heartbeat_at = max(known.last_heartbeat_at, heard_at)
     if state.back_in_service_at is not None and now > state.back_in_service_at:
         state.back_in_service_at = None
     return effects + _announce(state, now) + reply
@@ -108,7 +116,6 @@
     known.slots = event.slots
     known.service = event.service
     known.leaving = event.leaving
-    known.last_heartbeat_at = now
     known.cold_until = now + event.cold_ms
 
 
--- a/poplarstep/opaque_flows/tests/test_starting.py
+++ b/poplarstep/opaque_flows/tests/test_starting.py
@@ -9,6 +9,7 @@
 from poplarstep.opaque_flows import balancer
 from poplarstep.opaque_flows import early_openings
 from poplarstep.opaque_flows import message
+from poplarstep.opaque_flows import presence
 from poplarstep.opaque_flows.tests import fixtures
 
 TICK = timer.Tick(agent.TICK)
@@ -52,6 +53,38 @@
     assert fixtures.to_target(sent) == [b'opening']
 
 
+@pytest.mark.parametrize('paused_ms, read_after_ms, forwarded', [
+    pytest.param(300, 0, True, id='no pause'),
+    pytest.param(1500, 0, True, id='the target was heard before the pause'),
+    pytest.param(3000, 0, False, id='read before the first tick'),
+    pytest.param(3000, 2, False, id='read after the first tick'),
+])
+@pytest.mark.parametrize('started_at', [5000, 6000])
+def test_heartbeats_that_waited_for_a_paused_agent_are_old(
+        started_at, paused_ms, read_after_ms, forwarded):
+    """Guards against flows at a target that ended during a pause.
+
+    Its last heartbeat was read after the pause and counted as new. The
+    address may have gone to a target of another service by then.
+    """
+    state = fixtures.make_agent()
+    agent.AGENT.process(state, TICK, 10)
+    resumed_at = 10 + paused_ms
+    for after_ms in sorted((read_after_ms, 1)):
+        if after_ms == read_after_ms:
+            presence.PRESENCE.process(state, fixtures.heartbeat(
+                started_at=started_at, sequence=2), resumed_at + after_ms)
+        if after_ms == 1:
+            agent.AGENT.process(state, TICK, resumed_at + after_ms)
+    agent.AGENT.process(state, TICK, resumed_at + 21)
+    sent = fixtures.send_to_agent(state, fixtures.offer(), resumed_at + 22)
+    assert bool(fixtures.to_target(sent)) is forwarded
+    presence.PRESENCE.process(state, fixtures.heartbeat(
+        started_at=started_at, sequence=3), resumed_at + 30)
+    sent = fixtures.send_to_agent(state, fixtures.offer(), resumed_at + 31)
+    assert fixtures.to_target(sent) == [b'opening']
+
+
 def open_flow(state, now, number=0):
     """Process an opening packet at a balancer; return the offers."""
     return offers_of(balancer.BALANCER.process(
