Dispatch no request to a silent target

What callers would see: a request on an open flow that a target of another service runs.

Cause: an agent that calls its target over HTTP stopped new flows when the target had not announced itself for 2 s, and all requests when a connection broke. Without a connection in use, a crash breaks none: the next request of an open flow went over a new connection to whatever listens at the address.

Change: may_dispatch is false while the target is silent. Requests wait in the queue until the next announcement, or are refused as not run at their deadline.

Ruled out: refusing them at once (a target whose announcements are late for a moment would lose them).

Result: test_a_silent_target_gets_no_request failed before the change and passes now; tests of requests, programs, routing, scenarios and standins pass.

--- a/poplarstep/requests/state.py
+++ b/poplarstep/requests/state.py
@@ -179,8 +179,13 @@
 
 
 def may_dispatch(state, now):
-    r"""Return whether requests may be dispatched to the target."""
-    return state.target is not None and now >= state.dispatch_allowed_at
+    r"""Return whether requests may be dispatched to the target.
+
+    Not while the target is silent: it may have ended, and a target of another
+    service may have taken over its address.
+    """
+    return state.target is not None and not state.silent and (
+        now >= state.dispatch_allowed_at)
 
 
 def drain_deadline_passed(state, now):
--- a/poplarstep/requests/tests/test_agent_machine.py
+++ b/poplarstep/requests/tests/test_agent_machine.py
@@ -11,6 +11,7 @@
 from poplarstep.core import verdict
 from poplarstep.flow import packet
 from poplarstep.requests import admission
+from poplarstep.requests import announcing
 from poplarstep.requests import assembly
 from poplarstep.requests import expiry
 from poplarstep.requests import message
@@ -95,6 +96,7 @@
         if isinstance(item, message.CallTarget):
             service, identity = item.payload.split(b'|', 1)
             assert service.decode() == SERVICES[self.service]
+            assert not self.agent.silent, 'another target may have the address'
             assert identity not in self.may_have_run, 'dispatched twice'
             assert identity not in self.refused_not_run, 'refused, then run'
             assert identity not in self.cancelled, 'cancelled, then run'
@@ -242,6 +244,24 @@
     """
 
 
+def test_a_silent_target_gets_no_request():
+    """Guards against requests that a target of another service runs.
+
+    It may have taken over the address of a target that has ended.
+    """
+    machine = AgentMachine()
+    machine.open(duplicate=False)
+    service, key, opened = machine.tokens[0]
+    machine.now += announcing.ANNOUNCEMENT_TIMEOUT_MS
+    machine.feed(timer.Tick(announcing.TICK))
+    machine.deliver(packet.Request(
+        key, opened, 1, False, 300, 1, b'%s|%d|1' % (service.encode(), key)))
+    assert machine.calls == {}
+    machine.announce()
+    machine.advance(20)
+    assert len(machine.calls) == 1
+
+
 @pytest.mark.parametrize('fault, reason', [
     ('cancelled', 'cancelled'), ('earlier run', 'flow-ended'),
     ('other flow', 'flow-ended'), ('refused', 'deadline')])
