Remember more former services of a route

What callers would see: open flows that are lost when their route moves through five services within the lifetime of a flow (60 s), and a balancer is then restarted.

Change: 16 former services of an address.

Ruled out: no bound (a route would grow with each change); a time, as the state machine has no clock.

Result: the row with five services failed before and passes now; the bound has a test of its own.

--- a/poplarstep/configuration/replacement.py
+++ b/poplarstep/configuration/replacement.py
@@ -25,9 +25,9 @@
 DRAIN_DEADLINE_MS = 600_000
 PRIORITY = 0
 # Former services of an address that are remembered. The state machine has no
-# clock, so they are not dropped when the last flow has ended; each one shares
-# the bounded number of agents that are asked for an unknown flow.
-MAXIMUM_FORMER_SERVICES = 3
+# clock, so they are not dropped when the last flow has ended. A route that
+# moves more often within the lifetime of a flow loses the oldest flows.
+MAXIMUM_FORMER_SERVICES = 16
 
 
 @planners.PLANNERS.register(command.ReplaceConfiguration)
--- a/poplarstep/configuration/tests/test_replacement.py
+++ b/poplarstep/configuration/tests/test_replacement.py
@@ -140,7 +140,7 @@
     (('dispatch', 'certs', 'dispatch'), ('certs',)),
     (('dispatch', 'certs', 'maps'), ('certs', 'dispatch')),
     (('dispatch', 'certs', 'maps', 'tags', 'boats'),
-     ('tags', 'maps', 'certs')),
+     ('tags', 'maps', 'certs', 'dispatch')),
     (('dispatch', None, 'certs'), ()),
 ])
 def test_a_route_names_its_former_services(moves, former):
@@ -161,6 +161,19 @@
     assert tuple(name_by_number[number] for number in found) == former
 
 
+def test_former_services_are_bounded():
+    """Guards against routes that grow with each change of their service."""
+    machine = machines.Machine()
+    moves = replacement.MAXIMUM_FORMER_SERVICES + 2
+    for revision in range(moves):
+        name = 'v%d' % revision
+        apply(machine, wanted(revision + 1, [route(0, name)], [
+            command.WantedService(name, 0.0)]))
+    former = machine.catalogue.route_by_address[ADDRESSES[0]].former_services
+    assert len(former) == replacement.MAXIMUM_FORMER_SERVICES
+    assert len(machine.catalogue.service_by_name) == 1 + len(former)
+
+
 @pytest.mark.parametrize('listed, shares, retired, former', [
     pytest.param(
         ('certs',), ('certs',), ['dispatch'], ['dispatch'],
