Test the agent of a retired service; import the planner in its test

Cause: test_moved_routes.py did not import the planner of whole configurations, so its new cases passed only beside other tests.

Change: the import; a test that an agent that restarts beside a target of a retired service does not deny the flows of that target.

Ruled out: nothing.

--- a/poplarstep/opaque_flows/tests/test_moved_routes.py
+++ b/poplarstep/opaque_flows/tests/test_moved_routes.py
@@ -5,6 +5,8 @@
 from poplarstep.configuration import command
 from poplarstep.configuration import machine as machines
 from poplarstep.configuration import model
+# Registers the planner of ReplaceConfiguration.
+from poplarstep.configuration import replacement  # noqa: F401
 from poplarstep.core import timer
 from poplarstep.opaque_flows import balancer
 from poplarstep.opaque_flows import message
@@ -129,6 +131,15 @@
                 type(question) is message.FlowQuery)
 
 
+@pytest.mark.parametrize('services', [('dispatch', 'certs'), ('certs',)])
+def test_a_restarted_agent_of_a_retired_service_passes_flows(services):
+    """Guards against an agent that denies the flows that its target holds."""
+    state = fixtures.make_agent(make_moved_catalogue(services), sequence=3)
+    effects = fixtures.send_to_agent(
+        state, message.FlowQuery(fixtures.FLOW), now=100)
+    assert fixtures.messages_of(effects, message.FlowUncertain)
+
+
 def test_a_restarted_agent_without_a_configuration_passes_flows():
     """Guards against flows that break while an agent starts."""
     catalogue = fixtures.catalogues.Catalogue()
