Do not move a flow that its caller has opened at a silent target

Cause: rejects a copy of an opening packet at a target that may have ended, and the balancer then offers the flow elsewhere. A copy that the network delays may come when the caller has opened the flow; its packets would go to another target, which returns them.

Change: once the caller has acknowledged a packet of the target, a copy is answered as accepted, and not forwarded.

Ruled out: no answer (a balancer that does not know the flow would offer it to other targets after 60 ms).

Result: test_a_copy_does_not_move_a_flow_that_the_caller_has_opened failed before and passes now. Found by reading; no run has shown it.

--- a/poplarstep/opaque_flows/agent.py
+++ b/poplarstep/opaque_flows/agent.py
@@ -34,6 +34,7 @@
 from poplarstep.opaque_flows import message
 from poplarstep.opaque_flows import pauses
 from poplarstep.opaque_flows import presence
+from poplarstep.opaque_flows import segment as segments
 from poplarstep.opaque_flows import target_probe
 
 TICK = presence.TICK
@@ -112,18 +113,21 @@
     r"""Forward a copy of the opening packet of a flow that has started.
 
     A target that may have ended gets no copy: a target of another service
-    that has taken over its address would accept it as a new flow.
+    that has taken over its address would accept it as a new flow. The flow is
+    offered elsewhere then, unless the caller has opened it here.
     """
     key = event.message.flow
-    if states.is_absent(state, now):
+    is_absent = states.is_absent(state, now)
+    if is_absent and flow.acknowledged == segments.NO_SEQUENCE_NUMBER:
         return [
             agent_flows.rejected(
                 state, event.source, key, message.MAY_HAVE_STARTED),
             agent_flows.rejection_log(state, key, message.MAY_HAVE_STARTED)]
     flow.balancer = event.source
-    return [
-        message.ToTarget(event.message.datagram),
-        agent_flows.accepted(state, event.source, key)]
+    effects = [agent_flows.accepted(state, event.source, key)]
+    if not is_absent:
+        effects.append(message.ToTarget(event.message.datagram))
+    return effects
 
 
 @agent_flows.BALANCER_MESSAGES.handles(message.FlowPacket)
--- a/poplarstep/opaque_flows/tests/test_agent.py
+++ b/poplarstep/opaque_flows/tests/test_agent.py
@@ -139,6 +139,19 @@
         effects, message.FlowRejected)] == reasons
 
 
+def test_a_copy_does_not_move_a_flow_that_the_caller_has_opened():
+    """Guards against an open flow that is offered to another target.
+
+    A copy of the opening packet came late, while the target was silent.
+    """
+    state = answered_flow(1000)
+    fixtures.send_to_agent(state, message.FlowPacket(
+        fixtures.FLOW, False, False, b'', 1001), 9)
+    effects = fixtures.send_to_agent(state, fixtures.offer(), 1901)
+    assert not fixtures.to_target(effects)
+    assert fixtures.messages_of(effects, message.FlowAccepted)
+
+
 @pytest.mark.parametrize('offer_interval_ms', [0, 10, 90, 130])
 def test_cold_target_gets_no_more_than_its_limit(offer_interval_ms):
     """Guards against more flows in any second than a cold target can take."""
