Simplify the choice of former services; name a condition

Cause: read as a newcomer, the loop over former services and the check of a copy's flow took a second look.

Change: a comprehension, a named condition, two docstrings. No behaviour changes.

--- a/poplarstep/configuration/replacement.py
+++ b/poplarstep/configuration/replacement.py
@@ -139,16 +139,16 @@
     previous = machine.catalogue.route_by_address.get(route_address)
     if previous is None:
         return ()
+    known = machine.catalogue.service_by_number
     present = {share.service for share in shares}
-    former = []
-    for number in model.services_of_flows(previous):
-        if number in machine.catalogue.service_by_number and (
-                number not in present and number not in former):
-            former.append(number)
+    former = [
+        number for number in dict.fromkeys(model.services_of_flows(previous))
+        if number in known and number not in present]
     return tuple(former[:MAXIMUM_FORMER_SERVICES])
 
 
 def _changed_routes(machine, routes):
+    r"""Return the routes that differ from those in force."""
     route_by_name = machine.catalogue.route_by_name
     return [item for item in routes if item != route_by_name.get(item.name)]
 
@@ -181,6 +181,7 @@
 
 
 def _removals(machine, service):
+    r"""Return the removals of the targets of a service and of itself."""
     targets = machine.catalogue.targets_by_service.get(service.number, {})
     return [model.Removal('target', number) for number in targets] + [
         model.Removal('service', service.number)]
--- a/poplarstep/opaque_flows/agent.py
+++ b/poplarstep/opaque_flows/agent.py
@@ -109,7 +109,8 @@
     return agent_flows.queue_offer(state, event.source, offered, now)
 
 
-def _forward_copy(state: states.FlowAgentState, event, flow, now):
+def _forward_copy(
+        state: states.FlowAgentState, event, flow: states.Flow, now):
     r"""Forward a copy of the opening packet of a flow that has started.
 
     A target that may have ended gets no copy: a target of another service
@@ -118,7 +119,8 @@
     """
     key = event.message.flow
     is_absent = states.is_absent(state, now)
-    if is_absent and flow.acknowledged == segments.NO_SEQUENCE_NUMBER:
+    is_opened = flow.acknowledged != segments.NO_SEQUENCE_NUMBER
+    if is_absent and not is_opened:
         return [
             agent_flows.rejected(
                 state, event.source, key, message.MAY_HAVE_STARTED),
--- a/poplarstep/opaque_flows/agent_state.py
+++ b/poplarstep/opaque_flows/agent_state.py
@@ -203,9 +203,8 @@
         'last_announcement', 'was_out_of_service',
         'back_in_service_at', 'started_unix_ms', 'counters',
         'next_sweep_at', 'queue_ms', 'last_tick_at', 'paused_at',
-        'resumed_at',
-        'table_full_at', 'resets_dead_flows', 'probe', 'withdrawal_by_flow',
-        'health', 'demand', 'claims')
+        'resumed_at', 'table_full_at', 'resets_dead_flows', 'probe',
+        'withdrawal_by_flow', 'health', 'demand', 'claims')
 
     def __init__(self, settings, catalogue, incarnation, now):
         self.node = settings['node']
