--- a/review/12/case.py
+++ b/review/12/case.py
@@ -13,7 +13,6 @@
 
 ZONES = ('nasr-city', 'maadi', 'giza')
 ROUTE = ('198.18.0.1', 8443)
-HEARTBEAT_MS = 1200
 IDLE_MS = 55000
 FLOWS = 3000
 OPENING_S = 6.0
@@ -52,7 +51,6 @@
 
 
 async def case(world, trouble):
-    world.heartbeat_ms = HEARTBEAT_MS
     build(world)
     for machine in world.machines.values():
         machine.start()
--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -217,7 +217,7 @@
 class World:
     """Machines, routers, clients, endpoints and operator of a run."""
 
-    def __init__(self, record, heartbeat_ms=770):
+    def __init__(self, record, heartbeat_ms=1200):
         self.record = record
         self.commands = run_commands()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
