--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -626,9 +626,11 @@
 class Client(asyncio.DatagramProtocol):
     """All flows of one client address."""
 
-    def __init__(self, world, zone):
+    def __init__(self, world, zone, delay_s=0):
         self.world = world
         self.zone = zone
+        # One way, from and to the client.
+        self.delay_s = delay_s
         self.ip = world.next_ip()
         self.waiting = {}
         self.next_port = 30000
@@ -647,7 +649,15 @@
         packet = Packet(datagram)
         queue = self.waiting.get((packet.dport, packet.src, packet.sport))
         if queue is not None:
-            queue.put_nowait(packet)
+            self.later(queue.put_nowait, packet)
+
+    def later(self, function, *arguments):
+        """Call a function after the delay of the client's link."""
+        if self.delay_s:
+            asyncio.get_running_loop().call_later(
+                self.delay_s, function, *arguments)
+        else:
+            function(*arguments)
 
     async def request(self, route, identity, limit_s=3.0, via=None,
                       kind='GET', pause_s=0.0, opened=None):
@@ -671,9 +681,9 @@
             node = via or self.world.route(self.zone, flow)
             seen['via'] = node.name if node else ''
             if node is not None:
-                self.transport.sendto(
-                    encode(flags, host, dport, src, sport, seq % 2**32,
-                           ack % 2**32, data), node.address('datagram'))
+                self.later(self.transport.sendto, encode(
+                    flags, host, dport, src, sport, seq % 2**32,
+                    ack % 2**32, data), node.address('datagram'))
 
         def holder(number):
             """Return the live endpoint at which the flow is open, or ''."""
@@ -811,13 +821,19 @@
     trouble = os.environ.get('TROUBLE', '1') != '0'
     world = None
     code = 2
+
+    def on_terminate(number, frame):
+        raise KeyboardInterrupt
+
+    # All processes are ended when the case itself is stopped.
+    signal.signal(signal.SIGTERM, on_terminate)
     try:
         world = World(record)
 
         async def limited():
             return await asyncio.wait_for(case(world, trouble), 112)
         code = asyncio.run(limited())
-    except Exception as error:  # The case could not run.
+    except (Exception, KeyboardInterrupt) as error:  # It could not run.
         record.write('error', error=repr(error))
         print('could not run: %r' % error)
         code = 2
