--- a/review/11/case.py
+++ b/review/11/case.py
@@ -10,7 +10,7 @@
 import world as w  # noqa: E402
 
 ZONES = ('nasr-city', 'maadi', 'giza')
-ROUTE = ('198.18.0.1', 8443)
+ROUTE = ('127.254.0.1', 8443)
 RECOVERY_S = 12
 RATE = 20
 MEASURED_S = 10
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -12,7 +12,7 @@
 
 ZONES = ('nasr-city', 'maadi', 'giza')
 ROUTE_BY_SERVICE = {
-    'dispatch': ('198.18.0.1', 8443), 'certs': ('198.18.0.2', 443)}
+    'dispatch': ('127.254.0.1', 8443), 'certs': ('127.254.0.2', 443)}
 FROZEN_S = 0.3
 REUSE_S = 2.0
 # An endpoint reports for the first time so long after it listens.
