Send Hello to the seeds that are not members

Cause: a member that has a leader sent Hello only to observers that it had heard in its present run. Observers know their seeds only. When all seeds are observers and return after the members have a leader, no message passes between the two groups, so balancers and agents, which poll the seeds, get no configuration.

Evidence: the operator's read was answered by the members, while the restarted balancers never logged lease-confirmed; in the model the observers know no member.

Change: a member that has a leader sends Hello every 2 s also to the seeds that are not members. The same holds for members that ran on and forgot observers after 30 s of silence.

Ruled out: an expired dial (edge/link.py): a link whose messages stay unacknowledged is dialled again within 4 s, and no message was sent at all.

--- a/poplarstep/consensus/bootstrap.py
+++ b/poplarstep/consensus/bootstrap.py
@@ -26,7 +26,10 @@
 one. If all seeds are observers, the first seed chooses one of the hosts that
 have sent it ``Hello``, at most once in its run; that host forms a group of
 one, and the others join it. Members keep sending ``Hello`` to observers, so
-that a restarted observer finds them again.
+that a restarted observer finds them again. They send it to the seeds that
+are not members too: these may be observers that were down while the members
+restarted, and observers whose seeds are all observers can't find the members
+by themselves.
 """
 
 from poplarstep.consensus import handlers
@@ -37,7 +40,8 @@
 
 # Maximum age of the messages that the bootstrap of a group relies on.
 BOOTSTRAP_MAXIMUM_AGE_MS = 2000
-# Interval at which a host that has a leader sends ``Hello`` to observers.
+# Interval at which a host that has a leader sends ``Hello`` to observers and
+# to seeds that are not members.
 OBSERVER_HELLO_INTERVAL_MS = 2000
 # An observer that has been silent for this long gets no more ``Hello``.
 OBSERVER_EXPIRY_MS = 30_000
@@ -65,7 +69,7 @@
         if now < state.observer_hello_due:
             return ()
         state.observer_hello_due = now + OBSERVER_HELLO_INTERVAL_MS
-        return observer_addresses(state, now)
+        return nonmember_addresses(state, now)
     if now < state.hello_due:
         return ()
     state.hello_due = now + states.HELLO_INTERVAL_MS
@@ -82,12 +86,20 @@
     return tuple(addresses)
 
 
-def observer_addresses(state: states.ReplicaState, now):
-    r"""Return the addresses of the observers that are not silent."""
-    return tuple(
+def nonmember_addresses(state: states.ReplicaState, now):
+    r"""Return the addresses of the observers and of seeds that may be some.
+
+    Observers that have been silent for long are left out, but seeds are not.
+    """
+    addresses = dict.fromkeys(seed.address for seed in state.seeds)
+    addresses.update(dict.fromkeys(
         host.address for host in state.discovered_by_name.values()
         if host.observer
-        and now - host.last_seen <= OBSERVER_EXPIRY_MS)
+        and now - host.last_seen <= OBSERVER_EXPIRY_MS))
+    addresses.pop(state.address, None)
+    for member in state.log.members:
+        addresses.pop(member.address, None)
+    return tuple(addresses)
 
 
 def known_addresses(state: states.ReplicaState, now):
--- a/poplarstep/consensus/tests/test_observers.py
+++ b/poplarstep/consensus/tests/test_observers.py
@@ -91,14 +91,24 @@
 @pytest.mark.parametrize('seed', SEEDS)
 @pytest.mark.parametrize('size, observers', [
     shape for shape in SHAPES if 0 in shape[1]])
-def test_observers_find_the_members_again(size, observers, seed):
-    """Guards against members that send no ``Hello`` once there is a leader."""
+@pytest.mark.parametrize('members_restart, dark_ms', [
+    (False, 3000), (True, 3000), (False, 40_000)],
+    ids=['members run on', 'members restart first', 'observers forgotten'])
+def test_observers_find_the_members_again(
+        members_restart, dark_ms, size, observers, seed):
+    """Guards against members that send no ``Hello`` once there is a leader.
+
+    All seeds may be observers, and then the members must find them.
+    """
     cluster = make_cluster(size, observers, seed)
     hosts = [host for host in cluster.hosts if host.observer]
-    for host in hosts:
+    for host in cluster.hosts if members_restart else hosts:
         host.bootstrap = False
         cluster.crash(host)
-    cluster.run(3000)
+    for host in cluster.hosts:
+        if not host.observer and host.state is None:
+            cluster.start(host)
+    cluster.run(dark_ms)
     for host in hosts:
         cluster.start(host)
     assert cluster.run(CATCH_UP_MS, lambda: all(
