Keep the pauses of agents and balancers in one class

Change: PauseDetector holds them; the functions of pauses.py take the state that has it. No decision changes.

Ruled out: nothing.

--- a/poplarstep/opaque_flows/agent.py
+++ b/poplarstep/opaque_flows/agent.py
@@ -259,7 +259,7 @@
     effects = pauses.detect(state, now)
     state.occupancy.expire(now, REQUEST_TIMEOUT_MS)
     effects += agent_requests.tick(state, now) + claims.tick(state, now)
-    if state.resumed_at is not None:
+    if state.pauses.resumed_at is not None:
         # Answers may still wait in the socket.
         state.health.forget_awaited()
     state.health.expire(now)
--- a/poplarstep/opaque_flows/agent_state.py
+++ b/poplarstep/opaque_flows/agent_state.py
@@ -6,6 +6,7 @@
 from poplarstep.core import histogram
 from poplarstep.opaque_flows import demand
 from poplarstep.opaque_flows import occupancy
+from poplarstep.opaque_flows import pauses
 from poplarstep.opaque_flows import request_queue
 from poplarstep.opaque_flows import segment as segments
 from poplarstep.opaque_flows import target_health
@@ -167,8 +168,8 @@
     withdrawal_by_flow : OrderedDict
         Tied flows that the other agent has started; see
         ``poplarstep.opaque_flows.agent_ties``.
-    last_tick_at, paused_at, resumed_at : int or None
-        See ``poplarstep.opaque_flows.pauses``.
+    pauses : PauseDetector
+        Detects that this process was paused.
     start_times : deque of int
         When the latest flows started, oldest first.
     leaving : bool
@@ -202,8 +203,8 @@
         'queue', 'start_times', 'leaving', 'departed', 'departed_at',
         'last_announcement', 'was_out_of_service',
         'back_in_service_at', 'started_unix_ms', 'counters',
-        'next_sweep_at', 'queue_ms', 'last_tick_at', 'paused_at',
-        'resumed_at', 'table_full_at', 'resets_dead_flows', 'probe',
+        'next_sweep_at', 'queue_ms', 'pauses', 'table_full_at',
+        'resets_dead_flows', 'probe',
         'withdrawal_by_flow', 'health', 'demand', 'claims')
 
     def __init__(self, settings, catalogue, incarnation, now):
@@ -229,9 +230,7 @@
         self.health = target_health.make_target_health()
         self.demand = demand.make_demand(
             settings['load-reports'] == 'on', now)
-        self.last_tick_at = None
-        self.paused_at = None
-        self.resumed_at = None
+        self.pauses = pauses.make_pause_detector()
         self.start_times = collections.deque()
         self.leaving = False
         self.departed = False
--- a/poplarstep/opaque_flows/balancer_state.py
+++ b/poplarstep/opaque_flows/balancer_state.py
@@ -9,6 +9,7 @@
 from poplarstep.opaque_flows import known_flows
 from poplarstep.opaque_flows import locality as localities
 from poplarstep.opaque_flows import lookups
+from poplarstep.opaque_flows import pauses
 from poplarstep.opaque_flows import pending_flows
 from poplarstep.opaque_flows import tied_offers
 
@@ -196,11 +197,8 @@
     retry_at_by_flow : dict
         Flows that no target accepted, and when the next round of offers
         starts, in ms.
-    paused_at : int or None
-        When the last tick before the latest pause of this process came.
-    resumed_at : int or None
-        When the first tick after a pause of this process came; None once
-        a tick has come in time.
+    pauses : PauseDetector
+        Detects that this process was paused.
     opening_ms : Histogram
         Times from an opening packet to its acceptance by an agent.
     surveys : SurveyState
@@ -212,7 +210,7 @@
     __slots__ = (
         'catalogue', 'confirmed', 'placement', 'random', 'tracked_by_flow',
         'offered_by_flow', 'retry_at_by_flow', 'counters', 'next_sweep_at',
-        'last_tick_at', 'paused_at', 'resumed_at', 'opening_ms', 'candidates',
+        'pauses', 'opening_ms', 'candidates',
         'wide_lookups', 'early_opening_by_flow', 'late_blocked_until',
         'surveys', 'tie_limits', 'agents', 'locality', 'traffic',
         'known_flows')
@@ -243,9 +241,7 @@
         self.traffic = locality.make_traffic(
             catalogue, self.agents, self.counters)
         self.next_sweep_at = 0
-        self.last_tick_at = None
-        self.paused_at = None
-        self.resumed_at = None
+        self.pauses = pauses.make_pause_detector()
         self.opening_ms = histogram.Histogram()
 
 
--- a/poplarstep/opaque_flows/pauses.py
+++ b/poplarstep/opaque_flows/pauses.py
@@ -7,6 +7,9 @@
 socket buffer: their callers have given up or have retransmitted them, and what
 they were allowed to do may have changed. A process that ticks in time was not
 paused; after a pause nothing is trusted until a tick comes in time again.
+
+The functions take the state of an agent or a balancer, which has a
+``PauseDetector`` as ``pauses``.
 """
 
 from poplarstep.core import effect
@@ -18,17 +21,48 @@
 CHECK_INTERVAL_MS = 200
 
 
+class PauseDetector:
+    r"""Times of the ticks of a process, in ms.
+
+    Build it with ``make_pause_detector``.
+
+    Parameters
+    ==========
+
+    last_tick_at : int or None
+        When the latest tick came; None before the first one.
+    paused_at : int or None
+        When the last tick before the latest pause came.
+    resumed_at : int or None
+        When the first tick after a pause came; None once a tick has come in
+        time.
+    """
+
+    __slots__ = ('last_tick_at', 'paused_at', 'resumed_at')
+
+    def __init__(self):
+        self.last_tick_at = None
+        self.paused_at = None
+        self.resumed_at = None
+
+
+def make_pause_detector() -> PauseDetector:
+    r"""Return the detector of a process that has just started."""
+    return PauseDetector()
+
+
 def may_be_stale(state, now):
     r"""Return whether packets may have been queued during a pause.
 
     Either this process has not ticked for a while, or it has ticked once
     after a pause and is still reading packets that arrived meanwhile.
     """
-    if state.last_tick_at is None:
+    detector = state.pauses
+    if detector.last_tick_at is None:
         return False
     return (
-        now - state.last_tick_at > PAUSE_THRESHOLD_MS
-        or state.resumed_at is not None)
+        now - detector.last_tick_at > PAUSE_THRESHOLD_MS
+        or detector.resumed_at is not None)
 
 
 def earliest_arrival(state, now):
@@ -38,27 +72,30 @@
     """
     if not may_be_stale(state, now):
         return now
-    if state.resumed_at is not None:
-        return state.paused_at
-    return state.last_tick_at
+    detector = state.pauses
+    if detector.resumed_at is not None:
+        return detector.paused_at
+    return detector.last_tick_at
 
 
 def detect(state, now):
     r"""Record a pause of this process until a tick comes in time."""
-    former_tick_at, state.last_tick_at = state.last_tick_at, now
+    detector = state.pauses
+    former_tick_at, detector.last_tick_at = detector.last_tick_at, now
     paused_ms = 0 if former_tick_at is None else now - former_tick_at
     if paused_ms <= PAUSE_THRESHOLD_MS:
-        state.resumed_at = None
+        detector.resumed_at = None
         return []
-    if state.resumed_at is None:
-        state.paused_at = former_tick_at
-    state.resumed_at = now
+    if detector.resumed_at is None:
+        detector.paused_at = former_tick_at
+    detector.resumed_at = now
     state.counters.pauses += 1
     return [effect.LogEvent('resumed', (('paused_ms', paused_ms),))]
 
 
 def check_due_at(state, now):
     r"""Return when the next tick must come, in ms."""
-    if state.last_tick_at is None or state.resumed_at is not None:
+    detector = state.pauses
+    if detector.last_tick_at is None or detector.resumed_at is not None:
         return now
-    return state.last_tick_at + CHECK_INTERVAL_MS
+    return detector.last_tick_at + CHECK_INTERVAL_MS
--- a/poplarstep/opaque_flows/surveys.py
+++ b/poplarstep/opaque_flows/surveys.py
@@ -114,7 +114,7 @@
             surveys.check_queue.setdefault(flow)
     effects.extend(_check_due_flows(state, now))
     effects.extend(_ask(state, now))
-    if state.resumed_at is not None:
+    if state.pauses.resumed_at is not None:
         # Answers may still wait in the socket.
         return effects
     return effects + uncertain_agents.send(state, now)
@@ -140,7 +140,7 @@
     r"""Give up, reset or go on looking for a flow; return the effects."""
     # After a pause, packets and answers may still wait in the socket.
     if undecided is None or (
-            state.resumed_at is None
+            state.pauses.resumed_at is None
             and _has_expired(pending, undecided, now)):
         state.counters.surveys_given_up += 1
         pending_flows.drop(state, flow)
