Count a heartbeat as sent before the gap in which it may have waited

Cause: a heartbeat that waited during a pause of its agent counted as new when it was read, unless the pause was longer than 400 ms. The address of a target is served for 1.9 s after its last heartbeat and may be used again after 2 s, so an error of more than 100 ms is too much.

Change: a heartbeat that is read in a gap of more than 50 ms between two ticks, or within 100 ms after it, counts as sent when the gap began; one that is read before the first tick, when the agent started. Also, a heartbeat from before the return of a data centre no longer ends the limit for cold targets.

Ruled out: a lower threshold of pauses for all messages, which would drop opening packets on busy hosts; a larger margin of target-fresh, which would take 400 ms from every target to cover the longest unnoticed pause.

Tests: three tests fed heartbeats to an agent that never ticked, or ticked just once after a pause; a running agent ticks every 200 ms. Two now tick first. In test_heartbeats_that_waited_for_a_paused_agent_are_old a heartbeat that is read 22 or 30 ms after a pause must still count as old, and one after 150 ms as new; before, the one after 23 ms had to count as new, which is no stated bound.

--- a/poplarstep/opaque_flows/pauses.py
+++ b/poplarstep/opaque_flows/pauses.py
@@ -8,10 +8,16 @@
 they were allowed to do may have changed. A process that ticks in time was not
 paused; after a pause nothing is trusted until a tick comes in time again.
 
+A heartbeat may have waited in any gap between two ticks, however short. Its
+age bounds the time for which its target may get flows, so it counts as sent
+when the gap began.
+
 The functions take the state of an agent or a balancer, which has a
 ``PauseDetector`` as ``pauses``.
 """
 
+import math
+
 from poplarstep.core import effect
 
 # Longer than a busy host delays a tick, and shorter than the 600 ms after
@@ -19,6 +25,12 @@
 PAUSE_THRESHOLD_MS = 400
 # Longest time between two ticks, so that a longer pause is noticed.
 CHECK_INTERVAL_MS = 200
+# A message has not waited in a gap between two ticks that is this short. With
+# ``READING_MS`` it is below the margin by which a target without heartbeats
+# gets no flows before its address may be used again.
+SHORT_GAP_MS = 50
+# A message that waited in a gap is processed within this time after it.
+READING_MS = 100
 
 
 class PauseDetector:
@@ -36,14 +48,21 @@
     resumed_at : int or None
         When the first tick after a pause came; None once a tick has come in
         time.
+    gap_began_at, gap_ended_at : int or float
+        The latest two consecutive ticks that were further apart than
+        ``SHORT_GAP_MS``.
     """
 
-    __slots__ = ('last_tick_at', 'paused_at', 'resumed_at')
+    __slots__ = (
+        'last_tick_at', 'paused_at', 'resumed_at', 'gap_began_at',
+        'gap_ended_at')
 
     def __init__(self):
         self.last_tick_at = None
         self.paused_at = None
         self.resumed_at = None
+        self.gap_began_at = -math.inf
+        self.gap_ended_at = -math.inf
 
 
 def make_pause_detector() -> PauseDetector:
@@ -68,14 +87,19 @@
 def earliest_arrival(state, now):
     r"""Return the earliest time, in ms, at which a message can have arrived.
 
-    The message is processed now, and may have waited during a pause.
+    The message is processed now by an agent, and may have waited while the
+    agent started or was paused.
     """
-    if not may_be_stale(state, now):
-        return now
     detector = state.pauses
+    if detector.last_tick_at is None:
+        return state.started_at
     if detector.resumed_at is not None:
         return detector.paused_at
-    return detector.last_tick_at
+    if now - detector.gap_ended_at <= READING_MS:
+        return detector.gap_began_at
+    if now - detector.last_tick_at > SHORT_GAP_MS:
+        return detector.last_tick_at
+    return now
 
 
 def detect(state, now):
@@ -83,6 +107,9 @@
     detector = state.pauses
     former_tick_at, detector.last_tick_at = detector.last_tick_at, now
     paused_ms = 0 if former_tick_at is None else now - former_tick_at
+    if paused_ms > SHORT_GAP_MS:
+        detector.gap_began_at = former_tick_at
+        detector.gap_ended_at = now
     if paused_ms <= PAUSE_THRESHOLD_MS:
         detector.resumed_at = None
         return []
--- a/poplarstep/opaque_flows/presence.py
+++ b/poplarstep/opaque_flows/presence.py
@@ -34,8 +34,8 @@
 def heartbeat(state: states.FlowAgentState, event, now):
     r"""Update the target from a heartbeat; announce changes to balancers.
 
-    A heartbeat that may have waited during a pause of this process is as old
-    as the pause: its sender may have ended since.
+    A heartbeat that may have waited to be read is as old as it can be: its
+    sender may have ended since.
     """
     state.counters.heartbeats += 1
     reply = [targets.HeartbeatReply(event.key)] if event.key else []
@@ -52,7 +52,8 @@
     else:
         _update_target(known, event, now)
         known.last_heartbeat_at = max(known.last_heartbeat_at, heard_at)
-    if state.back_in_service_at is not None and now > state.back_in_service_at:
+    if state.back_in_service_at is not None and (
+            heard_at > state.back_in_service_at):
         state.back_in_service_at = None
     return effects + _announce(state, now) + reply
 
--- a/poplarstep/opaque_flows/tests/test_agent.py
+++ b/poplarstep/opaque_flows/tests/test_agent.py
@@ -101,6 +101,7 @@
         state, fixtures.SERVICE, 100) == message.DATA_CENTRE_OUT
     set_data_centre(state, False, 200)
     assert admission.is_cold(state, 200)
+    agent.AGENT.process(state, TICK, 300)
     send_heartbeat(state, 300, sequence=2)
     assert not admission.is_cold(state, 300)
 
--- a/poplarstep/opaque_flows/tests/test_load_reports.py
+++ b/poplarstep/opaque_flows/tests/test_load_reports.py
@@ -4,6 +4,7 @@
 
 from poplarstep.configuration import model
 from poplarstep.core import address
+from poplarstep.core import timer
 from poplarstep.opaque_flows import agent
 from poplarstep.opaque_flows import balancer
 from poplarstep.opaque_flows import demand
@@ -107,6 +108,7 @@
     """Guards against a restarted target that looks as busy as before."""
     state = fixtures.make_agent(load_reports='on')
     run_request(state, 0, 5000)
+    agent.AGENT.process(state, timer.Tick(agent.TICK), 5000)
     fixtures.presence.PRESENCE.process(
         state, fixtures.heartbeat(started_at=6000), 5000)
     effects = fixtures.send_to_agent(state, fixtures.offer(), 5001)
--- a/poplarstep/opaque_flows/tests/test_starting.py
+++ b/poplarstep/opaque_flows/tests/test_starting.py
@@ -13,6 +13,9 @@
 from poplarstep.opaque_flows.tests import fixtures
 
 TICK = timer.Tick(agent.TICK)
+# Time after which the address of a target that has ended may be used again.
+ADDRESS_REUSE_MS = 2000
+HEARTBEAT_INTERVAL_MS = 1200
 
 
 @pytest.mark.parametrize('cold_per_second, started', [
@@ -64,8 +67,9 @@
         started_at, paused_ms, ticks_first, reason):
     """Guards against flows at a target that ended during a pause.
 
-    Its last heartbeat was read after the pause and counted as new. The
-    address may have gone to a target of another service by then.
+    Its last heartbeats were read after the pause and counted as new. The
+    address may have gone to a target of another service by then. One that is
+    read some time after the pause is new.
     """
     state = fixtures.make_agent()
     agent.AGENT.process(state, TICK, 10)
@@ -77,10 +81,55 @@
     if ticks_first:
         presence.PRESENCE.process(state, beat, resumed_at + 2)
     agent.AGENT.process(state, TICK, resumed_at + 21)
-    for now, expected in ((resumed_at + 22, reason), (resumed_at + 30, '')):
+    for sequence, after_ms, expected in (
+            (3, 22, reason), (4, 30, reason), (5, 150, '')):
+        now = resumed_at + after_ms
+        agent.AGENT.process(state, TICK, now)
+        presence.PRESENCE.process(state, beat.replace(sequence=sequence), now)
         assert admission.rejection_reason(
             state, fixtures.SERVICE, now) == expected
-        presence.PRESENCE.process(state, beat.replace(sequence=3), now + 1)
+
+
+@pytest.mark.parametrize('ticks_first', [False, True])
+@pytest.mark.parametrize('first_ticks', [
+    pytest.param((), id='first tick after the heartbeat'),
+    pytest.param((0,), id='idle'),
+    pytest.param(range(0, 200, 20), id='busy'),
+])
+@pytest.mark.parametrize('paused_ms', [0, 60, 120, 190, 300, 390, 500])
+def test_a_heartbeat_is_as_old_as_it_can_be(
+        paused_ms, first_ticks, ticks_first):
+    """Guards against flows at a target whose address is used again.
+
+    Its last heartbeat waited while its agent was paused or still starting.
+    """
+    state = fixtures.make_agent(has_heartbeat=False)
+    for now in first_ticks:
+        agent.AGENT.process(state, TICK, now)
+    sent_at = first_ticks[-1] if first_ticks else 0
+    read_at = sent_at + paused_ms
+    if ticks_first and first_ticks:
+        agent.AGENT.process(state, TICK, read_at)
+        read_at += 30
+    presence.PRESENCE.process(state, fixtures.heartbeat(), read_at)
+    for now in range(read_at + 20, sent_at + ADDRESS_REUSE_MS, 20):
+        agent.AGENT.process(state, TICK, now)
+    reasons = [
+        admission.rejection_reason(state, fixtures.SERVICE, now)
+        for now in (sent_at + HEARTBEAT_INTERVAL_MS,
+                    sent_at + ADDRESS_REUSE_MS)]
+    assert reasons == ['', message.ABSENT]
+
+
+def test_a_heartbeat_of_before_the_return_of_the_data_centre_is_old():
+    """Guards against a cold target that gets the load of a warm one."""
+    state = fixtures.make_agent()
+    state.back_in_service_at = 200
+    for sequence, tick_at, expected in ((2, 10, 200), (3, 210, None)):
+        agent.AGENT.process(state, TICK, tick_at)
+        presence.PRESENCE.process(
+            state, fixtures.heartbeat(sequence=sequence), tick_at + 300)
+        assert state.back_in_service_at == expected
 
 
 def open_flow(state, now, number=0):
