Poll several upstreams at once after a timeout, known control hosts first

Cause: upstreams were polled strictly one after the other, 1 s and up to 0.2 s of jitter each, and a node at the first seed tried all seeds before a control host with a disk. Any number of hosts without a disk may fail at the same time.

Change: after a timeout a node polls two upstreams at once, then four, and keeps to the first that answers; it begins with the control hosts that an answer named. Nodes without a configuration poll one at a time as before.

Ruled out: a shorter timeout, since publishers hold polls for up to 600 ms; to poll all control hosts at once, which costs more and gains nothing within the bound.

--- a/poplarstep/dissemination/subscriber.py
+++ b/poplarstep/dissemination/subscriber.py
@@ -6,7 +6,8 @@
 The subscriber has one poll outstanding and sends the next one when the
 answer arrives. The publisher holds a poll until something has changed or the
 hold time has passed, so polls also serve as heartbeats. If no answer arrives
-in time, the subscriber switches to the next upstream.
+in time, the subscriber switches to the next upstream. It then sends a poll to
+several upstreams at once until one answers, and uses the first answer.
 
 The lease starts when the poll is *sent*, by this node's clock. However long
 the answer was in transit, the publisher confirmed the configuration after
@@ -50,7 +51,7 @@
     catalogue : Catalogue
         Shared with the other stages of the node.
     upstream : object
-        From ``upstream.UPSTREAMS``; selects the upstream to poll.
+        From ``upstream.UPSTREAMS``; selects the upstreams to poll.
     lease_only : bool
         The node is a control host. Its catalogue follows the replicated log
         and only the lease is taken from updates.
@@ -197,7 +198,7 @@
 
 def _give_up(state: 'SubscriberState', now):
     r"""Give up the outstanding poll and switch to the next upstream."""
-    state.upstream.on_timeout()
+    state.upstream.on_timeout(widens=not _is_starting(state))
     reporting.upstream_changed(state.reports)
     state.poll_outstanding = False
     jitter_ms = FAILOVER_JITTER_MS
@@ -240,6 +241,7 @@
         return _apply_late_update(state, update)
     state.poll_outstanding = False
     reporting.mark_reported(state.reports, state.polled_statuses)
+    state.upstream.on_answer(event.source)
     state.upstream.learn(update.upstreams)
     state.leader = update.leader
     state.control_hosts = update.upstreams or state.control_hosts
@@ -338,24 +340,25 @@
         state.node, state.sequence, state.backoff_ms)
     state.backoff_ms = min(MAXIMUM_BACKOFF_MS, 2 * state.backoff_ms)
     state.upstream.on_unconfirmed_answer(source, update.leader, now)
-    if state.upstream.destination(now) != source:
+    if source not in state.upstream.destinations(now):
         reporting.upstream_changed(state.reports)
 
 
 def _poll(state: 'SubscriberState', now):
-    destination = state.upstream.destination(now)
-    if destination is None:
+    destinations = state.upstream.destinations(now)
+    if not destinations:
         return []
     _renew_announcement(state)
     state.sequence += 1
     state.sent_at = now
     state.poll_outstanding = True
     state.polled_statuses = reporting.due_statuses(state.reports)
-    return [effect.SendControl(destination, message.Poll(
+    poll = message.Poll(
         state.node, state.role, state.incarnation, state.sequence,
         state.catalogue.version, state.lease_only,
         reporting.due_announcements(state.reports, state.catalogue, now),
-        reporting.group_statuses(state.polled_statuses, now)))]
+        reporting.group_statuses(state.polled_statuses, now))
+    return [effect.SendControl(item, poll) for item in destinations]
 
 
 def _renew_announcement(state: 'SubscriberState'):
--- a/poplarstep/dissemination/tests/test_schedule.py
+++ b/poplarstep/dissemination/tests/test_schedule.py
@@ -207,7 +207,7 @@
     world.network.run(500)
     switches = state.upstream.switches
     world.network._deliver(
-        state.upstream.destination(0), agent.address,
+        state.upstream.destinations(0)[0], agent.address,
         update(state.sequence, 1))
     assert state.upstream.switches == switches + 1
     world.network.run(schedule.CONVERGENCE_MS)
--- a/poplarstep/dissemination/upstream.py
+++ b/poplarstep/dissemination/upstream.py
@@ -1,10 +1,11 @@
-r"""Selection of the upstream that a subscriber polls.
+r"""Selection of the upstreams that a subscriber polls.
 
 Explanation
 ===========
 
-The classes are registered by name. ``destination`` takes ``now`` and returns
-the address of an inbox or None. ``on_timeout`` is called when no answer came,
+The classes are registered by name. ``destinations`` takes ``now`` and returns
+the addresses of the inboxes to poll, usually one. ``on_answer`` is called
+when one of them answers, ``on_timeout`` when none did, and
 ``on_unconfirmed_answer`` for an answer without a lease, with the leader that
 the answer named. ``learn`` gets the control hosts that an answer named,
 ``configure`` the upstreams of changed settings.
@@ -17,6 +18,10 @@
 # A node polls the leader that an upstream named for this long and then returns
 # to its own upstream, so that not all nodes keep polling the leader.
 LEADER_HINT_MS = 5000
+# After each timeout twice as many upstreams are polled at once, up to this
+# number. Many control hosts may freeze at the same time, and a change must be
+# in force everywhere within 3 s: in that time three polls can be sent.
+MAXIMUM_POLLED_UPSTREAMS = 4
 
 UPSTREAMS = registry.Registry('kind of upstream')
 
@@ -42,37 +47,60 @@
 
 @UPSTREAMS.register('seeds')
 class SeedUpstreams:
-    r"""Upstreams that are tried in turn.
+    r"""Upstreams that are tried in turn, and several at once after a timeout.
 
-    The node's name determines the first one, which spreads the load.
+    The node's name determines the first one, which spreads the load. After a
+    timeout the control hosts that an answer named come first: the configured
+    seeds may all have failed together, while of those hosts only a few may.
+
+    Parameters
+    ==========
+
+    node : str
+        Name of this node.
+    configured : tuple of Address
+        Seeds in the settings.
+    control_hosts : tuple of Address
+        Control hosts that the latest answer named.
+    seeds : tuple of Address
+        All upstreams, in the order in which they are tried.
+    current : int
+        Index in ``seeds`` of the first upstream to poll.
+    polled_count : int
+        Number of upstreams to poll at once.
+    switches : int
+        Number of times that ``current`` has moved on.
     """
 
     __slots__ = (
-        'configured', 'seeds', 'current', 'hinted_leader', 'leader_until',
-        'switches')
+        'node', 'configured', 'control_hosts', 'seeds', 'current',
+        'polled_count', 'hinted_leader', 'leader_until', 'switches')
 
     def __init__(self, node, seeds):
+        self.node = node
         self.configured = tuple(seeds)
+        self.control_hosts = ()
         self.seeds = self.configured
         self.current = jitter(node, 0, len(self.seeds))
+        self.polled_count = 1
         self.hinted_leader = None
         self.leader_until = 0
         self.switches = 0
 
-    def destination(self, now):
-        r"""Return the inbox to poll."""
+    def destinations(self, now):
+        r"""Return the inboxes to poll."""
         if self.hinted_leader is not None and now < self.leader_until:
-            return self.hinted_leader
+            return (self.hinted_leader,)
         self.hinted_leader = None
-        return self.seeds[self.current]
+        following = self.seeds[self.current:] + self.seeds[:self.current]
+        return following[:self.polled_count]
 
     def configure(self, upstreams):
         r"""Replace the configured seeds; return whether they differ."""
         if not upstreams or tuple(upstreams) == self.configured:
             return False
-        current_upstream = self.seeds[self.current]
         self.configured = tuple(upstreams)
-        self.learn((current_upstream,))
+        self._update_seeds()
         return True
 
     def learn(self, upstreams):
@@ -80,23 +108,45 @@
 
         Control hosts may have been replaced since the settings were written.
         """
-        if not upstreams:
-            return
+        if upstreams:
+            self.control_hosts = tuple(upstreams)
+            self._update_seeds()
+
+    def _update_seeds(self):
         current_upstream = self.seeds[self.current]
         self.seeds = tuple(dict.fromkeys(
-            tuple(upstreams) + self.configured + (current_upstream,)))
+            self.control_hosts + self.configured + (current_upstream,)))
         self.current = self.seeds.index(current_upstream)
 
-    def on_timeout(self):
-        r"""Switch to the next upstream."""
+    def on_answer(self, source):
+        r"""Keep to the upstream that answered first of several."""
+        if self.polled_count > 1 and source in self.seeds:
+            self.current = self.seeds.index(source)
+        self.polled_count = 1
+
+    def on_timeout(self, widens):
+        r"""Switch to the next upstreams; if it widens, to twice as many."""
+        polled_count = self.polled_count
+        if widens:
+            self.polled_count = min(
+                2 * polled_count, MAXIMUM_POLLED_UPSTREAMS)
+        self._move_on(polled_count)
+
+    def _move_on(self, count):
+        r"""Pass over ``count`` upstreams, or start with the control hosts."""
         self.hinted_leader = None
-        self.current = (self.current + 1) % len(self.seeds)
         self.switches += 1
+        if self.control_hosts and (
+                self.seeds[self.current] not in self.control_hosts):
+            self.current = jitter(
+                self.node, self.switches, len(self.control_hosts))
+        else:
+            self.current = (self.current + count) % len(self.seeds)
 
     def on_unconfirmed_answer(self, source, leader, now):
         r"""Poll the leader that the answer named, else the next upstream."""
         if leader is None or leader == source:
-            self.on_timeout()
+            self._move_on(1)
             return
         self.hinted_leader = leader
         self.leader_until = now + LEADER_HINT_MS
@@ -122,10 +172,10 @@
         super().__init__(node, seeds)
         self.disk_hosts = disk_hosts
 
-    def destination(self, now):
-        r"""Return the inbox to poll."""
+    def destinations(self, now):
+        r"""Return the inboxes to poll."""
         self.learn(self.disk_hosts(now))
-        return super().destination(now)
+        return super().destinations(now)
 
 
 @UPSTREAMS.register('leader')
@@ -146,9 +196,10 @@
         self.leader = leader
         self.switches = 0
 
-    def destination(self, now):
-        r"""Return the inbox of the leader, or None."""
-        return self.leader()
+    def destinations(self, now):
+        r"""Return the inbox of the leader, if there is one."""
+        leader = self.leader()
+        return () if leader is None else (leader,)
 
     def configure(self, upstreams):
         r"""Return False; the members are taken from the replicated log."""
@@ -157,7 +208,10 @@
     def learn(self, upstreams):
         r"""Do nothing; the members are taken from the replicated log."""
 
-    def on_timeout(self):
+    def on_answer(self, source):
+        r"""Do nothing; only the leader is polled."""
+
+    def on_timeout(self, widens):
         r"""Count a missing answer; consensus elects another leader."""
         self.switches += 1
 
