Let observers poll hosts with a disk while they know any

In a trial in memory, after control hosts without a disk (observers) had been cut off from the others for 1.5 to 12 s, a change reached some of them 2.0 to 2.26 s late for as long as the trial lasted, and with them every node that polls them. The bound of 3 s leaves little.

Cause: an observer whose upstreams time out moves on to other observers. One that answers names the leader, which is polled for 5 s; then the observer returns to the other one. Two of them that poll each other confirm their configuration to each other until their leases end, ask the leader again, and so on.

Change: an observer polls the hosts with a disk from which it has heard in the last 5 s, and others only while there are none.

Ruled out: a shorter lease, which would make an election interrupt forwarding.

Result: the 12 cases of test_observers_do_not_poll_each_other_for_long (500 ms, the time in which a change is committed and sent) fail before and pass.

--- a/poplarstep/dissemination/simulation.py
+++ b/poplarstep/dissemination/simulation.py
@@ -332,6 +332,26 @@
     return node
 
 
+def add_observer(cluster, name, node_address, seeds):
+    r"""Add a control host without a disk; it knows the hosts with one."""
+    network = cluster.network
+    node = Node(name, node_address, network.random.randrange(10**9))
+    node.catalogue = catalogues.Catalogue()
+    reports = reporting.Reports()
+    node.subscribed = subscriber.make_observer(
+        name, network.now * 10**6 + 1, node.catalogue, seeds,
+        lambda now: tuple(host.address for host in cluster.hosts), reports)
+    node.published = publisher.make_publisher(
+        node.catalogue, reports, lambda now: relay_lease(node, now),
+        lambda: node.subscribed.leader, publisher.RELAY_HOLD_MS,
+        lambda: node.subscribed.control_hosts)
+    node.pipeline = stage.Pipeline([
+        (subscriber.SUBSCRIBER, node.subscribed),
+        (publisher.PUBLISHER, node.published)])
+    network.add(node)
+    return node
+
+
 def relay_lease(node, now):
     r"""Return the remaining time of a relay's lease, in ms."""
     return subscriber.lease_left(node.subscribed, now)
--- a/poplarstep/dissemination/tests/test_failover.py
+++ b/poplarstep/dissemination/tests/test_failover.py
@@ -8,12 +8,16 @@
 from poplarstep.core import effect
 from poplarstep.core import timer
 from poplarstep.dissemination import message
+from poplarstep.dissemination import simulation
 from poplarstep.dissemination import subscriber
+from poplarstep.dissemination.tests import schedule
 
 INCARNATION = 5000
 TICK = timer.Tick(subscriber.TICK)
 # Time after the acknowledgement of a change at which nodes decide by it.
 CONFIGURATION_BOUND_MS = 3000
+# Time in which a change is committed and sent to the control hosts.
+COMMIT_BOUND_MS = 500
 MEMBERS = tuple(
     address.Address('10.0.0.%d' % number, 7000) for number in range(1, 6))
 OBSERVERS = tuple(
@@ -95,3 +99,38 @@
     run_until_version(state, upstreams, 2, now)
     polled, = state.upstream.destinations(now)
     assert polled in MEMBERS
+
+
+def add_observers(world):
+    """Add three observers, each of which has the other two as seeds."""
+    addresses = [simulation.address_of(5, index) for index in range(3)]
+    return [
+        simulation.add_observer(
+            world.cluster, 'observer-%d' % index, own,
+            tuple(item for item in addresses if item != own))
+        for index, own in enumerate(addresses)]
+
+
+def cut_off(world, nodes, duration_ms):
+    """Cut nodes off the control hosts for a time."""
+    world.network.faults.cuts = {
+        pair for node in nodes for host in world.cluster.hosts
+        for pair in ((node.name, host.name), (host.name, node.name))}
+    world.network.run(duration_ms)
+    world.network.faults.cuts = set()
+
+
+@pytest.mark.parametrize('cut_ms', [1500, 6000, 12_000])
+@pytest.mark.parametrize('seed', range(4))
+def test_observers_do_not_poll_each_other_for_long(seed, cut_ms):
+    """Guards against changes that are late long after a fault."""
+    world = schedule.World(seed)
+    observers = add_observers(world)
+    world.network.run(3000)
+    cut_off(world, observers, cut_ms)
+    world.network.run(schedule.CONVERGENCE_MS)
+    for number in range(20):
+        world.set_data_centre(out=number % 2 == 0)
+        world.network.run(COMMIT_BOUND_MS)
+        version = max(world.cluster.committed_at)
+        assert [item.catalogue.version for item in observers] == [version] * 3
--- a/poplarstep/dissemination/upstream.py
+++ b/poplarstep/dissemination/upstream.py
@@ -136,13 +136,18 @@
         r"""Pass over ``count`` upstreams, or start with the control hosts."""
         self.hinted_leader = None
         self.switches += 1
-        if self.control_hosts and (
-                self.seeds[self.current] not in self.control_hosts):
-            self.current = jitter(
-                self.node, self.switches, len(self.control_hosts))
-        else:
+        if not self._start_with_control_hosts():
             self.current = (self.current + count) % len(self.seeds)
 
+    def _start_with_control_hosts(self):
+        r"""Move to a control host unless the upstream is one."""
+        if not self.control_hosts or (
+                self.seeds[self.current] in self.control_hosts):
+            return False
+        self.current = jitter(
+            self.node, self.switches, len(self.control_hosts))
+        return True
+
     def on_unconfirmed_answer(self, source, leader, now):
         r"""Poll the leader that the answer named, else the next upstream."""
         if leader is None or leader == source:
@@ -156,8 +161,10 @@
 class ObserverUpstreams(SeedUpstreams):
     r"""Upstreams of an observer, a control host without a disk.
 
-    Its configured seeds may all be observers. Therefore it also polls the
-    control hosts with a disk, which it learns of from their messages.
+    Its configured seeds may all be observers. Therefore it polls the control
+    hosts with a disk, which it learns of from their messages, and others only
+    while it knows none: observers that poll each other would confirm their
+    configuration to each other until their leases end.
 
     Parameters
     ==========
@@ -174,7 +181,10 @@
 
     def destinations(self, now):
         r"""Return the inboxes to poll."""
-        self.learn(self.disk_hosts(now))
+        disk_hosts = self.disk_hosts(now)
+        if disk_hosts:
+            self.learn(disk_hosts)
+            self._start_with_control_hosts()
         return super().destinations(now)
 
 
