Say what the short gap of the pause detection allows for

Cause: the comment said that both constants together stay below the margin of 100 ms; only the first one adds to the error.

Change: the comment only.

Ruled out: nothing.

--- a/poplarstep/opaque_flows/pauses.py
+++ b/poplarstep/opaque_flows/pauses.py
@@ -25,11 +25,11 @@
 PAUSE_THRESHOLD_MS = 400
 # Longest time between two ticks, so that a longer pause is noticed.
 CHECK_INTERVAL_MS = 200
-# A message has not waited in a gap between two ticks that is this short. With
-# ``READING_MS`` it is below the margin by which a target without heartbeats
-# gets no flows before its address may be used again.
+# A message that is read in or after a gap between two ticks that is this short
+# counts as just arrived. The error is half of the margin of 100 ms between the
+# last flow to a silent target and the reuse of its address.
 SHORT_GAP_MS = 50
-# A message that waited in a gap is processed within this time after it.
+# A message that waited in a longer gap is processed within this time after it.
 READING_MS = 100
 
 
